--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the policy driver."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts that start processes for people."""
--- /dev/null
+++ b/src/radishmux/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The radishctl command."""
--- /dev/null
+++ b/src/radishmux/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: model, validation and spread."""
--- /dev/null
+++ b/src/radishmux/config/model.py
@@ -0,0 +1,180 @@
+"""Data classes of the operators' configuration.
+
+One document holds everything that operators decide. It has one version that
+only grows; see docs/design.md, section 4.3.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Address = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$",
+        description="IP number and port, as in 127.0.0.1:8080.",
+    ),
+]
+Fraction = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class _Record(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Base of all configuration records."""
+
+
+class Link(_Record):
+    """Capacity from one region to another, in bits per second."""
+
+    to_region: Name
+    bits_per_s: Positive
+    latency_ms: Positive = 55.0
+
+
+class Region(_Record):
+    """A region with its failure domains and outgoing links."""
+
+    name: Name
+    failure_domains: list[Name]
+    links: list[Link] = []
+    labels: dict[str, str] = {}
+
+
+class Customer(_Record):
+    """A customer: its fleet-wide allowance and the digests of its keys.
+
+    Attributes:
+        rate_per_s: Requests per second over the whole fleet.
+        burst: Requests that may be sent at once over the whole fleet.
+        key_digests: SHA-256 of each key in force, hexadecimal.
+    """
+
+    name: Name
+    rate_per_s: Positive
+    burst: Positive
+    key_digests: list[Digest] = []
+    labels: dict[str, str] = {}
+
+
+class Route(_Record):
+    """Rules for the requests of a service whose path has a prefix.
+
+    The longest matching prefix decides.
+
+    Attributes:
+        path_prefix: Start of the path after the service name.
+        methods: HTTP methods; empty means all.
+        idempotent: Whether a request may run more than once.
+        open_to_all: Whether the route is served without a key.
+        upload: Whether requests wait for a slot up to their deadline.
+    """
+
+    name: Name
+    path_prefix: str = "/"
+    methods: list[str] = []
+    idempotent: bool = False
+    open_to_all: bool = False
+    upload: bool = False
+
+
+class Service(_Record):
+    """A service: its routes and defaults.
+
+    Attributes:
+        default_deadline_ms: Deadline of requests that name none.
+        stable_version: Version that serves what no shift moves.
+    """
+
+    name: Name
+    routes: list[Route]
+    stable_version: Name
+    default_deadline_ms: PositiveInt = 10_000
+    labels: dict[str, str] = {}
+
+
+class BackendServer(_Record):
+    """A backend server of one version of a service.
+
+    Attributes:
+        slots: Requests that it runs at the same time.
+        connections: Connections that it accepts.
+    """
+
+    name: Name
+    service: Name
+    region: Name
+    failure_domain: Name
+    address: Address
+    version: Name
+    slots: PositiveInt
+    connections: PositiveInt = 330
+    labels: dict[str, str] = {}
+
+
+class Selector(_Record):
+    """Says which traffic may go to which regions.
+
+    All label maps must match (a subset match); an empty map matches all. The
+    first matching selector in the list decides.
+    """
+
+    name: Name
+    customer_labels: dict[str, str] = {}
+    service_labels: dict[str, str] = {}
+    caller_regions: list[Name] = []
+    allowed_regions: list[Name] = []
+
+
+class ShiftIntent(enum.Enum):
+    """What the operator wants of a shift."""
+
+    RUN = "run"
+    PAUSE = "pause"
+    TAKE_BACK = "take_back"
+
+
+class Shift(_Record):
+    """A move of a service's traffic from one version to another.
+
+    Attributes:
+        cap: Largest fraction of the service's traffic that may move.
+        canary: Fraction in force until the new version has shown itself good.
+        deadline: Unix time in seconds by which `cap` must be carried.
+    """
+
+    name: Name
+    service: Name
+    from_version: Name
+    to_version: Name
+    cap: Fraction
+    canary: Fraction = 0.02
+    deadline: float
+    intent: ShiftIntent = ShiftIntent.RUN
+
+
+class Configuration(_Record):
+    """Everything that operators decide.
+
+    Attributes:
+        version: Grows by one with each accepted change.
+        writer: Id of the write, to recognise one's own after a lost answer.
+        cell_size: Backend servers per cell; see docs/design.md, section 4.5.
+    """
+
+    version: Annotated[int, msgspec.Meta(ge=0)] = 0
+    writer: str = ""
+    regions: list[Region] = []
+    customers: list[Customer] = []
+    services: list[Service] = []
+    backend_servers: list[BackendServer] = []
+    selectors: list[Selector] = []
+    shifts: list[Shift] = []
+    cell_size: PositiveInt = 64
--- /dev/null
+++ b/src/radishmux/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, connections and retries towards backend servers."""
--- /dev/null
+++ b/src/radishmux/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP applications for callers, peers and operators."""
--- /dev/null
+++ b/src/radishmux/instances/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of live and leaving instances."""
--- /dev/null
+++ b/src/radishmux/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Customer keys and their check."""
--- /dev/null
+++ b/src/radishmux/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live instances, store contact and the roster."""
--- /dev/null
+++ b/src/radishmux/once/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets and the ledger that keeps requests at-most-once."""
--- /dev/null
+++ b/src/radishmux/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between instances."""
--- /dev/null
+++ b/src/radishmux/peer/messages.py
@@ -0,0 +1,69 @@
+"""Classes of the control messages, loaded from peer.thrift."""
+
+from __future__ import annotations
+
+import importlib.resources
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+_thrift: Any = thriftpy2.load(
+    str(importlib.resources.files("radishmux.peer") / "peer.thrift"),
+    module_name="peer_thrift",
+)
+
+Body = _thrift.Body
+CellLoad = _thrift.CellLoad
+ConfigOffer = _thrift.ConfigOffer
+ConfigRequest = _thrift.ConfigRequest
+CrashReport = _thrift.CrashReport
+Done = _thrift.Done
+Envelope = _thrift.Envelope
+Heartbeat = _thrift.Heartbeat
+HeartbeatAck = _thrift.HeartbeatAck
+LoanGrant = _thrift.LoanGrant
+LoanRequest = _thrift.LoanRequest
+LoanReturn = _thrift.LoanReturn
+Release = _thrift.Release
+StoreRelay = _thrift.StoreRelay
+StoreRelayed = _thrift.StoreRelayed
+VersionStopped = _thrift.VersionStopped
+
+_PROTOCOL = TCyBinaryProtocolFactory()
+_FIELD_BY_TYPE = {
+    spec[2]: spec[1] for spec in Body.thrift_spec.values() if len(spec) > 2
+}
+
+
+def encode(envelope: Any) -> bytes:
+    """Returns the binary form of an Envelope."""
+    return serialize(envelope, _PROTOCOL)
+
+
+def decode(payload: bytes) -> Any:
+    """Returns the Envelope in `payload`.
+
+    Raises:
+        thriftpy2.protocol.exc.TProtocolException: The bytes are no Envelope.
+    """
+    return deserialize(Envelope(), payload, _PROTOCOL)
+
+
+def wrap(message: Any) -> Any:
+    """Returns a Body that holds `message`.
+
+    Raises:
+        KeyError: The class is not part of the union.
+    """
+    return Body(**{_FIELD_BY_TYPE[type(message)]: message})
+
+
+def unwrap(body: Any) -> Any:
+    """Returns the message that a Body holds, or None when it is empty."""
+    for spec in Body.thrift_spec.values():
+        message = getattr(body, spec[1])
+        if message is not None:
+            return message
+    return None
--- /dev/null
+++ b/src/radishmux/peer/peer.thrift
@@ -0,0 +1,122 @@
+// Control messages between instances. Durations are milliseconds.
+namespace py radishmux.peer
+
+struct CellLoad {
+  1: string cell,
+  2: i32 slots,
+  3: i32 in_use,
+  4: i32 queued,
+}
+
+struct Heartbeat {
+  1: string instance,
+  2: i64 incarnation,
+  3: i64 sequence,
+  4: list<string> suspects,
+  5: i64 config_version,
+  // Age of the store read behind the sender's knowledge; -1: none yet.
+  6: i32 store_contact_age_ms,
+  7: list<CellLoad> loads,
+  8: bool leaving,
+  9: bool direct_store_contact,
+  10: i64 roster_revision,
+  // Instances that the sender has heard from within the suspicion time.
+  11: list<string> heard,
+}
+
+struct HeartbeatAck {
+  1: Heartbeat own,
+}
+
+struct ConfigOffer {
+  1: i64 version,
+  2: binary body,
+}
+
+struct ConfigRequest {
+  1: i64 above_version,
+}
+
+struct LoanRequest {
+  1: string customer,
+  2: string loan_id,
+  3: double fraction,
+  4: i32 duration_ms,
+}
+
+struct LoanGrant {
+  1: string loan_id,
+  2: double fraction,
+  3: double tokens,
+  4: i64 config_version,
+}
+
+struct LoanReturn {
+  1: string loan_id,
+  2: double tokens,
+}
+
+struct StoreRelay {
+  1: string operation,
+  2: string key,
+  3: i64 expected_revision,
+  4: binary value,
+  5: i32 timeout_ms,
+}
+
+struct StoreRelayed {
+  // "entry", "not_found", "conflict", "unknown" or "unavailable".
+  1: string outcome,
+  2: binary value,
+  3: i64 revision,
+  4: string reason,
+}
+
+struct VersionStopped {
+  1: string service_name,
+  2: string version,
+  3: string route,
+  4: string reason,
+  5: i64 epoch,
+}
+
+struct CrashReport {
+  1: string digest,
+  2: string request_id,
+  3: string backend_server,
+}
+
+struct Release {
+  1: string instance,
+  2: i64 incarnation,
+  3: list<string> cells,
+}
+
+struct Done {
+  1: bool accepted,
+  2: string reason,
+}
+
+union Body {
+  1: Heartbeat heartbeat,
+  2: HeartbeatAck heartbeat_ack,
+  3: ConfigOffer config_offer,
+  4: ConfigRequest config_request,
+  5: LoanRequest loan_request,
+  6: LoanGrant loan_grant,
+  7: LoanReturn loan_return,
+  8: StoreRelay store_relay,
+  9: StoreRelayed store_relayed,
+  10: VersionStopped version_stopped,
+  11: CrashReport crash_report,
+  12: Release release,
+  13: Done done,
+}
+
+struct Envelope {
+  1: i64 correlation,
+  2: bool is_reply,
+  3: string sender,
+  4: i64 sender_incarnation,
+  5: Body body,
+}
--- /dev/null
+++ b/src/radishmux/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemon: classes, loader and schema."""
--- /dev/null
+++ b/src/radishmux/settings/loader.py
@@ -0,0 +1,49 @@
+"""Reads JSON with comments into checked classes."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TypeVar
+
+import json5
+import msgspec
+
+T = TypeVar("T")
+
+
+class SettingsError(Exception):
+    """A file that cannot be used: the file, the path within it and why."""
+
+
+def parse(text: str, kind: type[T], source: str) -> T:
+    """Returns `text` as an instance of `kind`.
+
+    Args:
+        text: JSON with comments and trailing commas.
+        kind: A msgspec Struct class.
+        source: Name of the file, for the message.
+
+    Raises:
+        SettingsError: The text is no JSON or does not fit `kind`.
+    """
+    try:
+        document = json5.loads(text)
+    except ValueError as error:
+        raise SettingsError(f"{source}: not valid JSON: {error}") from error
+    try:
+        return msgspec.convert(document, kind)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{source}: {error}") from error
+
+
+def load(path: pathlib.Path, kind: type[T]) -> T:
+    """Returns the file's content as an instance of `kind`.
+
+    Raises:
+        SettingsError: The file cannot be read or does not fit.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    return parse(text, kind, str(path))
--- /dev/null
+++ b/src/radishmux/share/__init__.py
@@ -0,0 +1,1 @@
+"""Customer rate shares, token buckets and loans."""
--- /dev/null
+++ b/src/radishmux/shift/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic shifts between versions."""
--- /dev/null
+++ b/src/radishmux/steer/__init__.py
@@ -0,0 +1,1 @@
+"""Selectors, region choice and look-up answers."""
--- /dev/null
+++ b/src/radishmux/store/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value service."""
--- /dev/null
+++ b/src/radishmux/store/interface.py
@@ -0,0 +1,70 @@
+"""The store as the rest of the daemon sees it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+import msgspec
+
+from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
+from radishmux.registry import Registry
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """A value with the revision at which it was written.
+
+    Attributes:
+        value: At most 1 MB.
+        revision: Grows with each write of the key; 0 means absent.
+    """
+
+    value: bytes
+    revision: int
+
+
+class Store(Protocol):
+    """Key-value service with compare-and-swap, leases and watches.
+
+    No method raises for an outage: a sentinel tells the reason. `Unknown`
+    means that a write may have taken effect; read back before writing again.
+    """
+
+    async def get(
+        self, key: str, timeout_s: float
+    ) -> Entry | NotFound | Unavailable:
+        """Reads a key."""
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        timeout_s: float,
+        lease_id: int = 0,
+    ) -> Entry | Conflict | Unknown | Unavailable:
+        """Writes `value` if the key still has `expected_revision`.
+
+        An expected revision of 0 means that the key must not exist.
+        """
+
+    async def grant_lease(
+        self, ttl_s: int, timeout_s: float
+    ) -> int | Unavailable:
+        """Returns the id of a new lease; its keys vanish when it lapses."""
+
+    async def keep_lease(
+        self, lease_id: int, timeout_s: float
+    ) -> float | Unavailable:
+        """Renews a lease and returns the remaining seconds; 0: lapsed."""
+
+    async def revoke_lease(
+        self, lease_id: int, timeout_s: float
+    ) -> bool | Unavailable:
+        """Ends a lease and deletes its keys."""
+
+    def watch(self, key: str, from_revision: int) -> AsyncIterator[Entry]:
+        """Yields each later value; ends when the connection does."""
+
+
+store_drivers: Registry[str, type] = Registry("store driver")
--- /dev/null
+++ b/src/radishmux/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, traces and logs."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
