--- a/src/radishmux/config/model.py
+++ b/src/radishmux/config/model.py
@@ -31,7 +31,7 @@
     """Base of all configuration records."""
 
 
-class Link(_Record):
+class Link(_Record, kw_only=True):
     """Capacity from one region to another, in bits per second."""
 
     to_region: Name
@@ -39,7 +39,7 @@
     latency_ms: Positive = 55.0
 
 
-class Region(_Record):
+class Region(_Record, kw_only=True):
     """A region with its failure domains and outgoing links."""
 
     name: Name
@@ -48,7 +48,7 @@
     labels: dict[str, str] = {}
 
 
-class Customer(_Record):
+class Customer(_Record, kw_only=True):
     """A customer: its fleet-wide allowance and the digests of its keys.
 
     Attributes:
@@ -64,7 +64,7 @@
     labels: dict[str, str] = {}
 
 
-class Route(_Record):
+class Route(_Record, kw_only=True):
     """Rules for the requests of a service whose path has a prefix.
 
     The longest matching prefix decides.
@@ -85,7 +85,7 @@
     upload: bool = False
 
 
-class Service(_Record):
+class Service(_Record, kw_only=True):
     """A service: its routes and defaults.
 
     Attributes:
@@ -100,7 +100,7 @@
     labels: dict[str, str] = {}
 
 
-class BackendServer(_Record):
+class BackendServer(_Record, kw_only=True):
     """A backend server of one version of a service.
 
     Attributes:
@@ -119,7 +119,7 @@
     labels: dict[str, str] = {}
 
 
-class Selector(_Record):
+class Selector(_Record, kw_only=True):
     """Says which traffic may go to which regions.
 
     All label maps must match (a subset match); an empty map matches all. The
@@ -141,7 +141,7 @@
     TAKE_BACK = "take_back"
 
 
-class Shift(_Record):
+class Shift(_Record, kw_only=True):
     """A move of a service's traffic from one version to another.
 
     Attributes:
@@ -160,7 +160,7 @@
     intent: ShiftIntent = ShiftIntent.RUN
 
 
-class Configuration(_Record):
+class Configuration(_Record, kw_only=True):
     """Everything that operators decide.
 
     Attributes:
--- a/src/radishmux/settings/daemon.py
+++ b/src/radishmux/settings/daemon.py
@@ -16,7 +16,7 @@
     """Base of all settings classes."""
 
 
-class Listen(_Settings):
+class Listen(_Settings, kw_only=True):
     """Addresses that the daemon listens on."""
 
     caller: Address
@@ -25,7 +25,7 @@
     admin: Address
 
 
-class StoreSettings(_Settings):
+class StoreSettings(_Settings, kw_only=True):
     """How to reach the platform's store."""
 
     driver: str = "etcd"
@@ -33,7 +33,7 @@
     timeout_s: Positive = 1.0
 
 
-class InstanceListSettings(_Settings):
+class InstanceListSettings(_Settings, kw_only=True):
     """How to reach the platform's instance list."""
 
     driver: str = "http"
@@ -48,7 +48,7 @@
     TEXT = "text"
 
 
-class LogSettings(_Settings):
+class LogSettings(_Settings, kw_only=True):
     """Log output on standard error."""
 
     format: LogFormat = LogFormat.JSON
@@ -57,7 +57,7 @@
     ] = "INFO"
 
 
-class TraceSettings(_Settings):
+class TraceSettings(_Settings, kw_only=True):
     """Traces.
 
     Attributes:
@@ -70,7 +70,7 @@
     keep: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 2_000
 
 
-class DaemonSettings(_Settings):
+class DaemonSettings(_Settings, kw_only=True):
     """Everything that a daemon learns from its settings file."""
 
     instance: Name
