--- /dev/null
+++ b/src/radishmux/telemetry/catalogue.py
@@ -0,0 +1,320 @@
+"""Every metric of the daemon, declared once.
+
+The names here carry no prefix; the rendered ones start with `radishmux_`.
+docs/telemetry.md lists the same table.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+PREFIX = "radishmux_"
+
+# Seconds. The lowest ones resolve a lookup and the highest an upload.
+LATENCY_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+    float("inf"),
+)
+
+
+class Kind(enum.Enum):
+    """Kind of a metric, in Prometheus' terms."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+class Metric(msgspec.Struct, frozen=True):
+    """Declaration of one metric.
+
+    Attributes:
+        name: Without the prefix.
+        help: One sentence for people.
+        labels: Names of all its labels; a series has a value for each.
+    """
+
+    name: str
+    kind: Kind
+    help: str
+    labels: tuple[str, ...] = ()
+
+
+def _counter(name: str, text: str, *labels: str) -> Metric:
+    return Metric(name, Kind.COUNTER, text, labels)
+
+
+def _gauge(name: str, text: str, *labels: str) -> Metric:
+    return Metric(name, Kind.GAUGE, text, labels)
+
+
+def _histogram(name: str, text: str, *labels: str) -> Metric:
+    return Metric(name, Kind.HISTOGRAM, text, labels)
+
+
+_REQUESTS = (
+    _counter(
+        "requests_total",
+        "Answers to callers; outcome is 'served' or the refusal's reason.",
+        "customer",
+        "service",
+        "route",
+        "outcome",
+    ),
+    _histogram(
+        "request_seconds",
+        "Time from a request's header to the end of its response.",
+        "service",
+        "route",
+    ),
+    _gauge("requests_in_flight", "Requests that callers wait for."),
+    _counter(
+        "verdicts_total",
+        "Refusals by their verdict: not_run, may_have_run or ran.",
+        "verdict",
+    ),
+    _counter("lookups_total", "Answers to lookups.", "outcome"),
+    _histogram("lookup_seconds", "Time that a lookup took."),
+    _counter(
+        "invalid_requests_total",
+        "Requests refused because of their form, by reason.",
+        "reason",
+    ),
+    _counter(
+        "forwards_total",
+        "Requests sent to another instance; target is 'dispatcher' or"
+        " 'ticket_owner'.",
+        "target",
+        "outcome",
+    ),
+    _counter(
+        "body_bytes_total",
+        "Bytes of bodies; direction is 'request' or 'response'.",
+        "direction",
+    ),
+    _gauge("caller_connections", "Open connections of callers."),
+    _counter(
+        "key_checks_total",
+        "Checks of a key: 'known', 'public' or a refusal's reason.",
+        "outcome",
+    ),
+)
+
+_SHARES = (
+    _counter(
+        "admissions_total",
+        "Decisions on a customer's allowance: 'admitted' or the reason.",
+        "customer",
+        "outcome",
+    ),
+    _histogram(
+        "admission_wait_seconds", "Time that a request waited for a loan."
+    ),
+    _counter(
+        "loans_total",
+        "Loans of allowance; direction is 'lent' or 'borrowed'.",
+        "direction",
+        "outcome",
+    ),
+    _gauge("roster_weight", "Weight of this instance, of 10,000."),
+)
+
+_ONCE = (
+    _counter("tickets_total", "Tickets issued."),
+    _counter(
+        "ledger_total",
+        "Request ids seen: 'begun', 'repeated' or a refusal's reason.",
+        "outcome",
+    ),
+    _gauge("ledger_entries", "Request ids held in the ledger."),
+)
+
+_DISPATCH = (
+    _counter(
+        "attempts_total",
+        "Attempts at backend servers; kind is 'first', 'retry' or 'hedge'.",
+        "service",
+        "version",
+        "kind",
+        "outcome",
+    ),
+    _histogram(
+        "attempt_seconds",
+        "Time from sending an attempt to the end of its response.",
+        "service",
+        "version",
+    ),
+    _histogram(
+        "queue_wait_seconds", "Time that a request waited for a slot.", "cell"
+    ),
+    _gauge("slots", "Slots that the ready servers of a cell offer.", "cell"),
+    _gauge("slots_in_use", "Slots of a cell in use.", "cell"),
+    _gauge("queued", "Requests that wait for a slot of a cell.", "cell"),
+    _counter(
+        "retries_denied_total",
+        "Retries and hedges not sent because the budget was used up.",
+        "service",
+    ),
+    _counter(
+        "probes_total", "Probes of backend servers.", "service", "outcome"
+    ),
+    _counter(
+        "backend_server_changes_total",
+        "Changes of a backend server's state, by the new state.",
+        "service",
+        "state",
+    ),
+    _counter(
+        "backend_connections_total",
+        "Connections to backend servers: opened, reused, discarded.",
+        "outcome",
+    ),
+    _counter(
+        "silent_connections_total",
+        "Connections that were found silent while their server answered.",
+    ),
+    _counter(
+        "crash_marks_total",
+        "Requests that broke a backend server; source is 'own' or 'peer'.",
+        "source",
+    ),
+    _gauge("permit_held", "1 while this instance may dispatch."),
+    _gauge("cells_held", "Cells that this instance dispatches to."),
+    _counter(
+        "cell_takeovers_total",
+        "Cells taken over: 'released', 'proven_dead' or 'silent'.",
+        "cause",
+    ),
+    _counter(
+        "region_choices_total",
+        "Regions that requests were sent to; rank 0 is the first choice.",
+        "region",
+        "rank",
+    ),
+)
+
+_MEMBERSHIP = (
+    _counter("heartbeats_total", "Heartbeats sent, by outcome.", "outcome"),
+    _gauge("peers", "Peers in each state.", "state"),
+    _counter(
+        "peer_changes_total", "Changes of a peer's state.", "state", "cause"
+    ),
+    _gauge(
+        "store_contact_age_seconds",
+        "Age of the store read that this instance's knowledge rests on.",
+    ),
+    _gauge("fresh", "1 while that age admits keyed requests."),
+    _gauge("store_out_for_all", "1 while no instance can reach the store."),
+    _gauge("roster_entries", "Entries of the roster."),
+    _gauge("lease_seconds", "Seconds until this instance's lease ends."),
+    _counter(
+        "roster_writes_total",
+        "Writes of the roster; operation is 'join', 'renew', 'resize',"
+        " 'reclaim' or 'release'.",
+        "operation",
+        "outcome",
+    ),
+    _counter(
+        "control_bytes_total",
+        "Bytes of control messages; direction is 'sent' or 'received'.",
+        "direction",
+    ),
+    _counter(
+        "control_messages_total",
+        "Control messages by kind.",
+        "kind",
+        "direction",
+    ),
+    _counter("pauses_total", "Times that this process was found paused."),
+)
+
+_STORE = (
+    _counter(
+        "store_calls_total",
+        "Calls of the store; a pending watch counts as one.",
+        "operation",
+        "outcome",
+    ),
+    _histogram("store_call_seconds", "Time of store calls.", "operation"),
+    _counter(
+        "store_calls_denied_total",
+        "Store calls not sent because the call budget was used up.",
+        "operation",
+    ),
+    _counter("store_relays_total", "Calls relayed by a peer.", "outcome"),
+    _counter(
+        "instance_list_reads_total", "Reads of the instance list.", "outcome"
+    ),
+    _gauge("instance_list_age_seconds", "Time since the last list was read."),
+)
+
+_CONFIGURATION = (
+    _gauge("config_version", "Version of the configuration in force."),
+    _counter(
+        "config_applied_total",
+        "Versions put in force; source is 'store' or 'peer'.",
+        "source",
+    ),
+    _counter("config_rejected_total", "Versions refused.", "reason"),
+    _gauge("ready", "1 when this instance admits requests."),
+    _gauge("leaving", "1 while this instance shuts down."),
+)
+
+_SHIFTS = (
+    _gauge("shift_share", "Share of the new version.", "service", "version"),
+    _counter(
+        "version_choices_total",
+        "Requests by the version chosen for them.",
+        "service",
+        "version",
+    ),
+    _counter(
+        "versions_stopped_total",
+        "Bad versions stopped; source is 'own', 'peer' or 'store'.",
+        "service",
+        "version",
+        "source",
+    ),
+    _counter("shift_changes_total", "Changes of a shift's state.", "state"),
+    _gauge("controller_held", "1 while this instance controls shifts."),
+    _gauge("controller_epoch", "Epoch of the last controller seen."),
+)
+
+_PROCESS = (
+    _gauge("resident_bytes", "Resident memory of the process."),
+    _gauge("cpu_seconds", "Processor time that the process has used."),
+    _gauge("event_loop_delay_seconds", "Delay of the last timer."),
+    _counter(
+        "series_dropped_total",
+        "Series not recorded because their metric has too many.",
+        "metric",
+    ),
+)
+
+METRICS: tuple[Metric, ...] = (
+    *_REQUESTS,
+    *_SHARES,
+    *_ONCE,
+    *_DISPATCH,
+    *_MEMBERSHIP,
+    *_STORE,
+    *_CONFIGURATION,
+    *_SHIFTS,
+    *_PROCESS,
+)
