Add the age of the latest store response to heartbeats

An instance may continue past its roster lease only while no instance had a response of the store since the lease ended. The age of the configuration's read does not show that, since it counts only with the configuration in force.

--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -22,6 +22,9 @@
   10: i64 roster_revision,
   // Instances that the sender has heard from within the suspicion time.
   11: list<string> heard,
+  // Age of the latest store response to any instance that the sender knows
+  // of; -1: none yet.
+  12: i32 store_heard_age_ms = -1,
 }
 
 struct HeartbeatAck {
