--- /dev/null
+++ b/src/radishmux/membership/heartbeats.py
@@ -0,0 +1,171 @@
+"""Sends and answers heartbeats and feeds the membership view."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from loguru import logger
+
+from radishmux.clock import Clock
+from radishmux.instances.interface import InstanceList
+from radishmux.membership.cell_loads import CellLoad
+from radishmux.membership.view import MembershipView
+from radishmux.peer import messages
+from radishmux.peer.bus import PeerBus, Sender
+from radishmux.peer.link import PeerUnavailable
+
+HEARTBEAT_PERIOD_S = 0.25
+# A connection that gives no acknowledgement for this long is closed, so that
+# a silent one delays at most this much.
+ACK_TIMEOUT_S = 1.0
+LIST_TIMEOUT_S = 1.0
+
+
+class MetricsSink(Protocol):
+    """What parts need of telemetry.metrics.Metrics."""
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter."""
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Adds a value to a histogram."""
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Sets a gauge."""
+
+
+class Heartbeats:
+    """Background tasks: one per peer, one that reads the instance list.
+
+    An async context manager. Store contact and the roster are noted on the
+    view by those who read the store; see `MembershipView.note_store_contact`
+    and `MembershipView.set_roster`.
+
+    Args:
+        view: Fed with every acknowledgement.
+        bus: Connections to the peers; its addresses are set from the view.
+        instance_list: The platform's list.
+        clock: Monotonic clock.
+        metrics: Counters.
+        list_period_s: Seconds between reads of the instance list.
+    """
+
+    def __init__(
+        self,
+        view: MembershipView,
+        bus: PeerBus,
+        instance_list: InstanceList,
+        clock: Clock,
+        metrics: MetricsSink,
+        list_period_s: float = 1.0,
+    ) -> None:
+        self._view = view
+        self._bus = bus
+        self._instance_list = instance_list
+        self._clock = clock
+        self._metrics = metrics
+        self._list_period_s = list_period_s
+        self._loads_source: Callable[[], Iterable[CellLoad]] = tuple
+        self._tasks: list[asyncio.Task[None]] = []
+        self._peer_tasks: dict[str, asyncio.Task[None]] = {}
+        bus.handle(messages.Heartbeat)(self._on_heartbeat)
+
+    async def __aenter__(self) -> Heartbeats:
+        self._tasks = [
+            asyncio.create_task(self._read_list()),
+            asyncio.create_task(self._tick()),
+        ]
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        tasks = self._tasks + list(self._peer_tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._tasks = []
+        self._peer_tasks = {}
+
+    def set_loads_source(
+        self, source: Callable[[], Iterable[CellLoad]]
+    ) -> None:
+        """Sets where the loads of this instance's cells come from.
+
+        Args:
+            source: Called once per heartbeat period; must not block.
+        """
+        self._loads_source = source
+
+    def note_store_contact(self, sent_at: float) -> None:
+        """Notes a read that confirmed the configuration in force.
+
+        Args:
+            sent_at: Monotonic seconds at which the read was sent.
+        """
+        self._view.note_store_contact(sent_at)
+
+    async def announce(self) -> None:
+        """Sends a heartbeat to all peers now, for instance on leaving."""
+        names = list(self._peer_tasks)
+        await asyncio.gather(*(self._beat(name) for name in names))
+
+    async def _on_heartbeat(self, report: Any, sender: Sender) -> Any:
+        now = self._clock.now()
+        self._view.note_heartbeat(report, now)
+        return messages.HeartbeatAck(own=self._view.report(now))
+
+    async def _read_list(self) -> None:
+        while True:
+            instances = await self._instance_list.read(LIST_TIMEOUT_S)
+            if isinstance(instances, tuple):
+                self._view.set_instance_list(instances, self._clock.now())
+            else:
+                self._metrics.count("instance_list_failures")
+            await asyncio.sleep(self._list_period_s)
+
+    async def _tick(self) -> None:
+        while True:
+            now = self._clock.now()
+            self._view.set_own_loads(self._loads_source(), now)
+            for name in self._view.tick(now):
+                state = self._view.state_of(name)
+                self._metrics.count("peer_state_changes", state=state)
+                logger.info("peer {} is {}", name, state)
+            await self._follow_addresses()
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    async def _follow_addresses(self) -> None:
+        wanted = {i.instance: i.control_address for i in self._view.peers()}
+        for name in set(self._peer_tasks) - set(wanted):
+            self._peer_tasks.pop(name).cancel()
+            await self._bus.set_address(name, None)
+        for name, address in wanted.items():
+            await self._bus.set_address(name, address)
+            task = self._peer_tasks.get(name)
+            if task is None or task.done():
+                self._peer_tasks[name] = asyncio.create_task(
+                    self._beat_forever(name)
+                )
+
+    async def _beat_forever(self, name: str) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            started_at = loop.time()
+            await self._beat(name)
+            spent_s = loop.time() - started_at
+            await asyncio.sleep(max(0.0, HEARTBEAT_PERIOD_S - spent_s))
+
+    async def _beat(self, name: str) -> None:
+        incarnation = self._view.incarnation_of(name)
+        sent_at = self._clock.now()
+        report = self._view.report(sent_at)
+        reply = await self._bus.request(name, report, ACK_TIMEOUT_S)
+        if isinstance(reply, messages.HeartbeatAck):
+            now = self._clock.now()
+            self._view.note_acknowledgement(reply.own, sent_at, now)
+            self._metrics.observe("heartbeat_rtt_s", now - sent_at)
+            return
+        self._metrics.count("heartbeat_failures")
+        if isinstance(reply, PeerUnavailable) and reply.refused:
+            self._view.note_refused(name, incarnation)
