--- /dev/null
+++ b/src/radishmux/shift/chooser.py
@@ -0,0 +1,202 @@
+"""Choice of the version that serves an attempt; docs/design.md, 4.6."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from radishmux.config.model import Configuration, Shift, ShiftIntent
+from radishmux.shift.counter import ShareCounter, to_ppm
+from radishmux.shift.document import MOVING, ShiftDocument, ShiftRecord
+from radishmux.shift.observation import Fault, Observation
+from radishmux.steer.selector import ConfigSource
+
+
+class FaultDetector(Protocol):
+    """Finds faults of a new version (`shift.detector.Detector`)."""
+
+    def observe(
+        self, observation: Observation, is_new: bool, now: float
+    ) -> Fault | None:
+        """Takes the outcome of one attempt and returns a fault, once."""
+
+
+class Stop(msgspec.Struct, frozen=True, kw_only=True):
+    """A version that gets no new request.
+
+    Attributes:
+        step: Sequence of the shift step in force where it was found.
+    """
+
+    service: str
+    version: str
+    route: str
+    reason: str
+    step: int
+
+
+class _Moving:
+    """A shift in force on this instance.
+
+    Each route has its own counter, so that a pattern in the order of requests
+    cannot keep a route away from the new version.
+    """
+
+    __slots__ = ("record", "share_ppm", "counters", "detector")
+
+    def __init__(
+        self,
+        record: ShiftRecord,
+        share_ppm: int,
+        detector: FaultDetector | None,
+    ) -> None:
+        self.record = record
+        self.share_ppm = share_ppm
+        self.counters: dict[str, ShareCounter] = {}
+        self.detector = detector
+
+    def decide(self, route: str) -> bool:
+        counter = self.counters.get(route)
+        if counter is None:
+            counter = ShareCounter(self.share_ppm)
+            self.counters[route] = counter
+        return counter.decide()
+
+
+class VersionChooser:
+    """Chooses versions and watches their outcomes.
+
+    The share in force is that of the shifts document, never above the cap in
+    the configuration in force, and 0 from the moment the operator takes the
+    shift back or a fault is known here.
+    """
+
+    def __init__(
+        self,
+        config: ConfigSource,
+        new_detector: Callable[[], FaultDetector] | None = None,
+    ) -> None:
+        self._new_detector = new_detector
+        self._document = ShiftDocument()
+        self._moving: dict[str, _Moving] = {}
+        self._stops: dict[tuple[str, str], Stop] = {}
+        self._stop_watchers: list[Callable[[Stop], None]] = []
+        self.on_configuration(config.current)
+        config.watch(self.on_configuration)
+
+    @property
+    def document(self) -> ShiftDocument:
+        """The shifts document in force."""
+        return self._document
+
+    @property
+    def stops(self) -> tuple[Stop, ...]:
+        """Versions stopped on this instance."""
+        return tuple(self._stops.values())
+
+    def watch_stops(self, callback: Callable[[Stop], None]) -> None:
+        """Calls `callback` for each fault found on this instance."""
+        self._stop_watchers.append(callback)
+
+    def choose(self, service: str, route: str, now: float) -> str:
+        """Returns the version for one attempt; a retry is another attempt."""
+        moving = self._moving.get(service)
+        if moving is None:
+            return self._stable.get(service, "")
+        if moving.share_ppm and moving.decide(route):
+            return moving.record.to_version
+        return moving.record.from_version
+
+    def observe(self, observation: Observation, now: float) -> Fault | None:
+        """Takes the outcome of an attempt; stops the version on a fault."""
+        moving = self._moving.get(observation.service)
+        if moving is None or moving.detector is None:
+            return None
+        is_new = observation.version == moving.record.to_version
+        if not is_new and observation.version != moving.record.from_version:
+            return None
+        fault = moving.detector.observe(observation, is_new, now)
+        if fault is None or not moving.share_ppm:
+            return None
+        stop = Stop(
+            service=fault.service,
+            version=fault.version,
+            route=fault.route,
+            reason=fault.reason,
+            step=moving.record.step,
+        )
+        self.on_stop(stop)
+        for callback in self._stop_watchers:
+            callback(stop)
+        return fault
+
+    def on_stop(self, stop: Stop) -> bool:
+        """Takes a stop found here or by a peer.
+
+        Returns:
+            Whether it is news.
+        """
+        known = self._stops.get((stop.service, stop.version))
+        if known is not None and known.step >= stop.step:
+            return False
+        self._stops[stop.service, stop.version] = stop
+        self._apply()
+        return True
+
+    def on_document(self, document: ShiftDocument) -> bool:
+        """Takes a shifts document.
+
+        Returns:
+            False when it is not newer than the one in force.
+        """
+        if document.sequence <= self._document.sequence:
+            return False
+        self._document = document
+        self._apply()
+        return True
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Takes a new configuration."""
+        self._stable = {
+            service.name: service.stable_version
+            for service in configuration.services
+        }
+        self._shifts = {shift.name: shift for shift in configuration.shifts}
+        self._apply()
+
+    def _apply(self) -> None:
+        before = self._moving
+        self._moving = {}
+        for record in self._document.shifts:
+            shift = self._shifts.get(record.name)
+            if shift is None or record.state not in MOVING:
+                continue
+            share_ppm = self._share(record, shift)
+            kept = before.get(record.service)
+            self._moving[record.service] = self._next(kept, record, share_ppm)
+
+    def _next(
+        self, kept: _Moving | None, record: ShiftRecord, share_ppm: int
+    ) -> _Moving:
+        if kept is None or kept.record.started != record.started:
+            detector = self._new_detector() if self._new_detector else None
+            return _Moving(record, share_ppm, detector)
+        if kept.share_ppm == share_ppm:
+            kept.record = record
+            return kept
+        return _Moving(record, share_ppm, kept.detector)
+
+    def _share(self, record: ShiftRecord, shift: Shift) -> int:
+        if shift.intent is ShiftIntent.TAKE_BACK:
+            return 0
+        stop = self._stops.get((record.service, record.to_version))
+        if stop is not None and stop.step >= record.started:
+            return 0
+        if (shift.service, shift.to_version) != (
+            record.service,
+            record.to_version,
+        ):
+            return 0
+        return min(record.share_ppm, record.cap_ppm, to_ppm(shift.cap))
--- /dev/null
+++ b/tests/shift/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of version choice and shifts."""
