--- a/src/radishmux/store/etcd.py
+++ b/src/radishmux/store/etcd.py
@@ -186,7 +186,9 @@
             }
         }
         address = self._addresses[self._preferred]
-        self._metrics.count("store_calls_total", operation="watch")
+        self._metrics.count(
+            "store_calls_total", operation="watch", outcome="opened"
+        )
         try:
             async with self._open_session().post(
                 f"http://{address}/v3/watch",
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,93 @@
+"""Guards the ready configurations, the example settings and the schemas."""
+
+from __future__ import annotations
+
+import hashlib
+import pathlib
+
+import pytest
+
+from radishmux.cli.schema import SCHEMAS, schema_text
+from radishmux.config.model import Configuration
+from radishmux.settings.daemon import DaemonSettings
+from radishmux.settings.loader import load
+
+ROOT = pathlib.Path(__file__).parent.parent
+# Regions, link, servers a service, slots, connections: docs/design.md, 1.6.
+SIZES = {
+    "association": (["montreal", "quebec", "saguenay"], 4e9, 12, 18, 3, 6),
+    "trust": (["accra", "kumasi", "tamale"], 280e6, 12, 14, 3, 4),
+}
+CONNECTIONS = {"association": 360, "trust": 330}
+
+
+def _configuration(user: str) -> Configuration:
+    return load(ROOT / "deploy" / f"{user}.jsonc", Configuration)
+
+
+@pytest.mark.parametrize("user", SIZES)
+def test_configuration_has_the_sizes_of_the_design(user):
+    regions, bits_per_s, fewest, most, least, largest = SIZES[user]
+    configuration = _configuration(user)
+    assert [one.name for one in configuration.regions] == regions
+    for region in configuration.regions:
+        assert len(region.failure_domains) == 2
+        assert {one.to_region for one in region.links} == (
+            set(regions) - {region.name}
+        )
+        assert {one.bits_per_s for one in region.links} == {bits_per_s}
+    assert len(configuration.customers) == 8
+    sizes = [one.labels["size"] for one in configuration.customers]
+    assert 1 < sizes.count("large") < 4
+    assert len(configuration.services) == 4
+    for service in configuration.services:
+        servers = [
+            one
+            for one in configuration.backend_servers
+            if one.service == service.name
+        ]
+        assert fewest <= len(servers) <= most
+        assert {one.region for one in servers} == set(regions)
+        assert all(least <= one.slots <= largest for one in servers)
+        assert {one.connections for one in servers} == {CONNECTIONS[user]}
+        stable = [
+            one for one in servers if one.version == service.stable_version
+        ]
+        assert {one.region for one in stable} == set(regions)
+
+
+@pytest.mark.parametrize("user", SIZES)
+def test_configuration_has_each_kind_of_route(user):
+    routes = [
+        route
+        for service in _configuration(user).services
+        for route in service.routes
+    ]
+    assert any(route.open_to_all for route in routes)
+    assert any(route.upload for route in routes)
+    for route in routes:
+        # A write must never be marked as repeatable, except an upload, whose
+        # request id makes it so.
+        if "POST" in route.methods or not route.methods:
+            assert not route.idempotent
+        assert not route.upload or route.methods == ["PUT"]
+
+
+@pytest.mark.parametrize("user", SIZES)
+def test_demo_keys_are_the_documented_ones(user):
+    for customer in _configuration(user).customers:
+        key = f"demo-{customer.name}".encode()
+        assert customer.key_digests == [hashlib.sha256(key).hexdigest()]
+
+
+def test_example_settings_fit_the_daemon():
+    path = ROOT / "deploy" / "settings.example.jsonc"
+    assert load(path, DaemonSettings).instance == "montreal-a-1"
+
+
+@pytest.mark.parametrize("name", SCHEMAS)
+def test_published_schema_is_current(name):
+    published = (ROOT / "docs" / "schema" / name).read_text()
+    assert published == schema_text(SCHEMAS[name]), (
+        "run: radishctl settings schema --write docs/schema"
+    )
