Describe every field of the configuration and the settings

The reference page and the published schemas are generated from the classes, and several fields had no description. No field changes.

--- a/src/radishmux/config/model.py
+++ b/src/radishmux/config/model.py
@@ -32,7 +32,13 @@
 
 
 class Link(_Record, kw_only=True):
-    """Capacity from one region to another, in bits per second."""
+    """Link from the region that lists it to another one.
+
+    Attributes:
+        to_region: Name of the other region.
+        bits_per_s: Capacity in this direction.
+        latency_ms: One-way latency.
+    """
 
     to_region: Name
     bits_per_s: Positive
@@ -40,7 +46,14 @@
 
 
 class Region(_Record, kw_only=True):
-    """A region with its failure domains and outgoing links."""
+    """A region with its failure domains and outgoing links.
+
+    Attributes:
+        name: Unique among the regions.
+        failure_domains: Their names; each belongs to one region.
+        links: One for each region that requests may be sent to.
+        labels: For selectors.
+    """
 
     name: Name
     failure_domains: list[Name]
@@ -52,9 +65,11 @@
     """A customer: its fleet-wide allowance and the digests of its keys.
 
     Attributes:
+        name: Unique among the customers.
         rate_per_s: Requests per second over the whole fleet.
         burst: Requests that may be sent at once over the whole fleet.
         key_digests: SHA-256 of each key in force, hexadecimal.
+        labels: For selectors.
     """
 
     name: Name
@@ -70,6 +85,7 @@
     The longest matching prefix decides.
 
     Attributes:
+        name: Unique among the routes of the service.
         path_prefix: Start of the path after the service name.
         methods: HTTP methods; empty means all.
         idempotent: Whether a request may run more than once.
@@ -89,8 +105,11 @@
     """A service: its routes and defaults.
 
     Attributes:
+        name: Unique among the services; first part of a request's path.
+        routes: Rules for its requests.
         default_deadline_ms: Deadline of requests that name none.
         stable_version: Version that serves what no shift moves.
+        labels: For selectors.
     """
 
     name: Name
@@ -104,8 +123,15 @@
     """A backend server of one version of a service.
 
     Attributes:
+        name: Unique among the backend servers.
+        service: Name of the service that it serves.
+        region: Name of its region.
+        failure_domain: One of that region's failure domains.
+        address: Where it accepts HTTP.
+        version: Version of the service that it runs.
         slots: Requests that it runs at the same time.
         connections: Connections that it accepts.
+        labels: For people; selectors do not read them.
     """
 
     name: Name
@@ -124,6 +150,13 @@
 
     All label maps must match (a subset match); an empty map matches all. The
     first matching selector in the list decides.
+
+    Attributes:
+        name: Unique among the selectors.
+        customer_labels: Labels that the customer must have.
+        service_labels: Labels that the service must have.
+        caller_regions: Regions that the caller must be in; empty means any.
+        allowed_regions: Where its requests may run, preferred ones first.
     """
 
     name: Name
@@ -145,9 +178,14 @@
     """A move of a service's traffic from one version to another.
 
     Attributes:
+        name: Unique among the shifts.
+        service: Name of the service.
+        from_version: Version that loses traffic.
+        to_version: Version that gains traffic.
         cap: Largest fraction of the service's traffic that may move.
         canary: Fraction in force until the new version has shown itself good.
         deadline: Unix time in seconds by which `cap` must be carried.
+        intent: What the operator wants now.
     """
 
     name: Name
@@ -166,6 +204,12 @@
     Attributes:
         version: Grows by one with each accepted change.
         writer: Id of the write, to recognise one's own after a lost answer.
+        regions: All regions.
+        customers: All customers.
+        services: All services.
+        backend_servers: All backend servers.
+        selectors: All selectors, in order of precedence.
+        shifts: All shifts that the operators have asked for.
         cell_size: Backend servers per cell; see docs/design.md, section 4.5.
     """
 
--- a/src/radishmux/settings/daemon.py
+++ b/src/radishmux/settings/daemon.py
@@ -17,7 +17,14 @@
 
 
 class Listen(_Settings, kw_only=True):
-    """Addresses that the daemon listens on."""
+    """Addresses that the daemon listens on.
+
+    Attributes:
+        caller: Lookups and requests of callers (HTTP).
+        peer: Requests that other instances pass on (HTTP).
+        control: Control messages of other instances (thrift).
+        admin: Metrics, health, status and explanations (HTTP).
+    """
 
     caller: Address
     peer: Address
@@ -26,7 +33,13 @@
 
 
 class StoreSettings(_Settings, kw_only=True):
-    """How to reach the platform's store."""
+    """How to reach the platform's store.
+
+    Attributes:
+        driver: Name of the store driver.
+        addresses: In order of preference.
+        timeout_s: Longest time of one call.
+    """
 
     driver: str = "etcd"
     addresses: list[Address]
@@ -34,7 +47,13 @@
 
 
 class InstanceListSettings(_Settings, kw_only=True):
-    """How to reach the platform's instance list."""
+    """How to reach the platform's instance list.
+
+    Attributes:
+        driver: Name of the instance list driver.
+        addresses: In order of preference.
+        period_s: Time between two reads.
+    """
 
     driver: str = "http"
     addresses: list[Address]
@@ -49,7 +68,12 @@
 
 
 class LogSettings(_Settings, kw_only=True):
-    """Log output on standard error."""
+    """Log output on standard error.
+
+    Attributes:
+        format: Form of the lines.
+        level: Lowest level that is written.
+    """
 
     format: LogFormat = LogFormat.JSON
     level: Annotated[
@@ -71,7 +95,18 @@
 
 
 class DaemonSettings(_Settings, kw_only=True):
-    """Everything that a daemon learns from its settings file."""
+    """Everything that a daemon learns from its settings file.
+
+    Attributes:
+        instance: Name in the platform's instance list.
+        region: Region that it is in.
+        failure_domain: Failure domain that it is in.
+        listen: Its addresses.
+        store: The platform's store.
+        instance_list: The platform's instance list.
+        logs: Log output.
+        traces: Sampling and retention of traces.
+    """
 
     instance: Name
     region: Name
