--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -350,3 +350,9 @@
     *_SHIFTS,
     *_PROCESS,
 )
+
+# What each span covers, by its name.
+SPANS: dict[str, str] = {
+    "request": "A caller's request, on the instance that received it.",
+    "peer": "The same request on an instance that another one sent it to.",
+}
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -11,7 +11,7 @@
 
 from radishmux.settings.daemon import LogFormat, LogSettings
 from radishmux.telemetry import logs, metrics
-from radishmux.telemetry.catalogue import METRICS
+from radishmux.telemetry.catalogue import METRICS, SPANS
 from radishmux.telemetry.metrics import Metrics, UndeclaredMetricError
 from radishmux.telemetry.traces import Tracer
 
@@ -74,6 +74,17 @@
             assert labels <= declared[name] | {None}, f"{path}: {name}"
 
 
+def test_every_span_in_the_sources_is_declared():
+    for path in SOURCES.rglob("*.py"):
+        for call in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(call, ast.Call)
+                and ast.unparse(call.func).endswith("tracer.span")
+                and isinstance(call.args[0], ast.Constant)
+            ):
+                assert call.args[0].value in SPANS, path
+
+
 def _is_metric_call(node: ast.AST) -> bool:
     return (
         isinstance(node, ast.Call)
