Label opened watches in the store's call counter and tell refused calls apart

Cause: the metrics catalogue declares operation and outcome on store_calls_total, and a watch was counted without an outcome; a call that the store refuses looked like one that it did not answer. Change: watches count with the outcome "opened"; Rejected and Denied join the store's sentinels. Before: test_every_metric_used_in_the_sources_is_declared_with_its_labels failed. After: it passes.

--- a/src/radishmux/store/etcd.py
+++ b/src/radishmux/store/etcd.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
-from radishmux.store.interface import Entry, store_drivers
+from radishmux.store.interface import Entry, Rejected, store_drivers
 
 # A value of 1 MB is 1.4 MB in base64; longer lines are not from a store.
 _MAX_LINE_BYTES = 4 * 1024 * 1024
@@ -38,12 +38,6 @@
     __slots__ = ()
 
 
-class _Rejected(Unavailable):
-    """The store answered that the call is wrong and did nothing."""
-
-    __slots__ = ()
-
-
 @store_drivers.register("etcd")
 class EtcdStore:
     """Calls the JSON gateway of an etcd v3 cluster.
@@ -167,7 +161,7 @@
         answer = await self._write(
             "revoke_lease", "/v3/kv/lease/revoke", body, timeout_s
         )
-        if isinstance(answer, _Rejected):
+        if isinstance(answer, Rejected):
             return False
         return answer if isinstance(answer, Unavailable) else True
 
@@ -186,7 +180,9 @@
             }
         }
         address = self._addresses[self._preferred]
-        self._metrics.count("store_calls_total", operation="watch")
+        self._metrics.count(
+            "store_calls_total", operation="watch", outcome="opened"
+        )
         try:
             async with self._open_session().post(
                 f"http://{address}/v3/watch",
@@ -227,6 +223,8 @@
             if not isinstance(answer, Unavailable):
                 return answer
             failure = answer
+        if isinstance(failure, Rejected):
+            return failure
         return Unavailable(failure.reason)
 
     async def _write(
@@ -289,7 +287,7 @@
             # The gateway answers 4xx before it does anything; after 5xx the
             # cluster may still carry out the call.
             if 400 <= response.status < 500:
-                return _Rejected(reason)
+                return Rejected(reason)
             return Unknown(reason)
 
     def _open_session(self) -> aiohttp.ClientSession:
--- a/src/radishmux/store/interface.py
+++ b/src/radishmux/store/interface.py
@@ -23,6 +23,18 @@
     revision: int
 
 
+class Rejected(Unavailable):
+    """The store answered that it will not carry out the call."""
+
+    __slots__ = ()
+
+
+class Denied(Unavailable):
+    """The call was not sent because the call budget is used up."""
+
+    __slots__ = ()
+
+
 class Store(Protocol):
     """Key-value service with compare-and-swap, leases and watches.
 
