Carry leases in the store relay messages

Cause: a relayed write may belong to a lease, and leases are granted, kept and revoked through a peer as well. Change: StoreRelay gets lease_id and ttl_s, StoreRelayed lease_id and remaining_s; all are additional fields. Before: only reads and writes without a lease could be relayed.

--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -57,19 +57,26 @@
 }
 
 struct StoreRelay {
+  // "get", "compare_and_swap", "grant_lease", "keep_lease" or "revoke_lease".
   1: string operation,
   2: string key,
   3: i64 expected_revision,
   4: binary value,
   5: i32 timeout_ms,
+  6: i64 lease_id,
+  7: i32 ttl_s,
 }
 
 struct StoreRelayed {
-  // "entry", "not_found", "conflict", "unknown" or "unavailable".
+  // "entry", "lease", "not_found", "conflict", "unknown" or "unavailable".
   1: string outcome,
   2: binary value,
   3: i64 revision,
   4: string reason,
+  // Id of a new lease.
+  5: i64 lease_id,
+  // Remaining time of a kept lease, or 1 for a revoked one; 0: lapsed.
+  6: double remaining_s,
 }
 
 struct VersionStopped {
