Add radishctl: configuration, keys, labels, selectors, shifts, reports

Operators need to change the stored configuration safely and managers need to read results.

Before: settings commands only.

--- /dev/null
+++ b/src/radishmux/cli/inspect_commands.py
@@ -0,0 +1,157 @@
+"""`radishctl status`, `explain` and `report`."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import typer
+
+from radishmux.cli.connection import (
+    DEFAULT_ADMIN,
+    DEFAULT_STORE,
+    AdminAddresses,
+    StoreAddresses,
+    fetch_all,
+    run,
+)
+from radishmux.cli.errors import CliError, ExitCode
+from radishmux.cli.output import TEXT, Output, emit
+from radishmux.cli.shift_records import read_shifts, report_text
+from radishmux.outcome import NotFound, Unavailable
+
+_MILLISECONDS = 1e3
+
+
+def status(
+    admin: AdminAddresses = DEFAULT_ADMIN, output: Output = TEXT
+) -> None:
+    """Shows the state of instances."""
+    answers = run(fetch_all(admin, "/v1/status"))
+    reached = [one for one in answers.values() if not _failed(one)]
+    rows = []
+    for address, answer in answers.items():
+        if isinstance(answer, Unavailable):
+            rows.append({"admin": address, "error": answer.reason})
+        else:
+            rows.append({"admin": address, **answer})
+    single = len(rows) == 1 and bool(reached)
+    emit(rows[0] if single else {"instances": rows}, output)
+    if not reached:
+        raise CliError("no instance answered", ExitCode.UNAVAILABLE)
+
+
+def explain(
+    trace_id: Annotated[
+        str, typer.Argument(help="Trace id, from the traceparent header.")
+    ],
+    admin: AdminAddresses = DEFAULT_ADMIN,
+    output: Output = TEXT,
+) -> None:
+    """Explains what became of one traced request."""
+    explanations = run(fetch_all(admin, f"/v1/explain/{trace_id}"))
+    traces = run(fetch_all(admin, f"/v1/traces/{trace_id}"))
+    spans = merge_spans(list(traces.values()))
+    found = {
+        address: answer
+        for address, answer in explanations.items()
+        if not _failed(answer) and answer
+    }
+    if not spans and not found:
+        _raise_not_found(trace_id, [*explanations.values()])
+    result = {"trace_id": trace_id, "explanations": found, "spans": spans}
+    emit(result, output, explanation_text(result))
+
+
+def report(
+    shift: Annotated[
+        str | None, typer.Argument(help="Name of a shift; all without it.")
+    ] = None,
+    store: StoreAddresses = DEFAULT_STORE,
+    output: Output = TEXT,
+) -> None:
+    """Reports on shifts in words for managers."""
+    found = [
+        one
+        for one in run(read_shifts(store)).shifts
+        if shift in (None, one.name)
+    ]
+    if shift is not None and not found:
+        raise CliError(f"no report on a shift {shift}", ExitCode.NOT_FOUND)
+    text = "\n\n".join(map(report_text, found)) or "There are no shifts."
+    emit({"shifts": found}, output, text)
+
+
+def merge_spans(answers: list[Any]) -> list[dict[str, Any]]:
+    """Returns the spans of all instances once, in order of their start."""
+    spans: dict[str, dict[str, Any]] = {}
+    for answer in answers:
+        if _failed(answer):
+            continue
+        listed = answer.get("spans", []) if isinstance(answer, dict) else answer
+        for span in listed:
+            spans.setdefault(span["span_id"], span)
+    return sorted(spans.values(), key=lambda span: span["start_unix_s"])
+
+
+def span_tree(spans: list[dict[str, Any]]) -> list[str]:
+    """Returns a line for each span, indented below its parent."""
+    known = {span["span_id"] for span in spans}
+    children: dict[str, list[dict[str, Any]]] = {}
+    for span in spans:
+        parent = span["parent_id"] if span["parent_id"] in known else ""
+        children.setdefault(parent, []).append(span)
+    lines: list[str] = []
+
+    def add(parent: str, depth: int) -> None:
+        for span in children.get(parent, []):
+            lines.append("  " * depth + _span_line(span))
+            add(span["span_id"], depth + 1)
+
+    add("", 0)
+    return lines
+
+
+def explanation_text(result: dict[str, Any]) -> str:
+    """Returns the text form of an explanation."""
+    lines = [f"trace {result['trace_id']}"]
+    for address, answer in result["explanations"].items():
+        lines.append(f"explained by {address}:")
+        lines.extend(f"  {line}" for line in _plain_lines(answer))
+    if result["spans"]:
+        lines.append("spans:")
+        lines.extend(f"  {line}" for line in span_tree(result["spans"]))
+    return "\n".join(lines)
+
+
+def _span_line(span: dict[str, Any]) -> str:
+    attributes = " ".join(
+        f"{name}={value}" for name, value in span["attributes"].items()
+    )
+    duration_ms = span["duration_s"] * _MILLISECONDS
+    error = f" error: {span['error']}" if span.get("error") else ""
+    return (
+        f"{span['name']} on {span['instance']}: {duration_ms:.2f} ms"
+        f" {attributes}{error}".rstrip()
+    )
+
+
+def _plain_lines(answer: Any) -> list[str]:
+    if isinstance(answer, dict):
+        return [f"{name}: {value}" for name, value in answer.items()]
+    if isinstance(answer, list):
+        return [str(one) for one in answer]
+    return [str(answer)]
+
+
+def _failed(answer: Any) -> bool:
+    return isinstance(answer, Unavailable)
+
+
+def _raise_not_found(trace_id: str, answers: list[Any]) -> None:
+    if all(_failed(one) and not isinstance(one, NotFound) for one in answers):
+        raise CliError("no instance answered", ExitCode.UNAVAILABLE)
+    raise CliError(
+        f"no instance knows trace {trace_id}: it was not sampled, or its"
+        " spans were dropped",
+        ExitCode.NOT_FOUND,
+    )
--- a/src/radishmux/cli/main.py
+++ b/src/radishmux/cli/main.py
@@ -4,7 +4,14 @@
 
 import typer
 
-from radishmux.cli import settings_commands
+from radishmux.cli import (
+    config_commands,
+    inspect_commands,
+    key_commands,
+    label_commands,
+    settings_commands,
+    shift_commands,
+)
 from radishmux.cli.output import ErrorGroup
 
 app = typer.Typer(
@@ -19,8 +26,20 @@
     ),
 )
 app.add_typer(settings_commands.app, name="settings")
+app.add_typer(config_commands.app, name="config")
+app.add_typer(key_commands.app, name="key")
+app.add_typer(label_commands.label_app, name="label")
+app.add_typer(label_commands.selector_app, name="selector")
+app.add_typer(shift_commands.app, name="shift")
+app.command()(inspect_commands.status)
+app.command()(inspect_commands.explain)
+app.command()(inspect_commands.report)
 
 
 def main() -> None:
     """Runs radishctl."""
     app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/radishmux/cli/shift_records.py
@@ -0,0 +1,113 @@
+"""Reads the state of shifts from the store and words it for people."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import time
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from radishmux.cli.connection import open_store
+from radishmux.cli.errors import CliError, ExitCode, error_from
+from radishmux.outcome import NotFound, Unavailable
+from radishmux.shift import document
+from radishmux.shift.document import ShiftDocument, ShiftRecord, ShiftState
+from radishmux.store.interface import Entry
+
+_CALL_TIMEOUT_S = 2.0
+# Each read is a metered call of the store, and shares change every few
+# seconds at most.
+_POLL_S = 2.0
+_PPM = 1_000_000
+
+_RESULTS = {
+    ShiftState.PROPOSED: "has not started yet",
+    ShiftState.CANARY: "is testing the new version on a small share",
+    ShiftState.RAMPING: "is moving traffic to the new version",
+    ShiftState.VERIFYING: "carries its cap and is being verified",
+    ShiftState.DONE: "is done: the new version carries its share",
+    ShiftState.PAUSED: "is paused",
+    ShiftState.TAKEN_BACK: "was rolled back: the old version serves all",
+    ShiftState.IMPOSSIBLE: "cannot meet its deadline and moves nothing",
+}
+
+
+async def read_shifts(addresses: list[str]) -> ShiftDocument:
+    """Returns the document of all shifts; empty when there is none.
+
+    Raises:
+        CliError: The store cannot be reached.
+    """
+    async with open_store(addresses) as store:
+        entry = await store.get(document.KEY, _CALL_TIMEOUT_S)
+    if isinstance(entry, NotFound):
+        return ShiftDocument()
+    if isinstance(entry, Unavailable):
+        raise error_from(entry)
+    return _decode(entry)
+
+
+async def records(
+    addresses: list[str], name: str, timeout_s: float
+) -> AsyncIterator[ShiftRecord]:
+    """Yields the record of a shift after each change, until the timeout.
+
+    Outages of the store are waited out.
+    """
+    ends = time.monotonic() + timeout_s
+    revision = -1
+    async with open_store(addresses) as store:
+        while time.monotonic() < ends:
+            entry = await store.get(document.KEY, _CALL_TIMEOUT_S)
+            if isinstance(entry, Entry) and entry.revision != revision:
+                revision = entry.revision
+                for record in _decode(entry).shifts:
+                    if record.name == name:
+                        yield record
+            remaining_s = ends - time.monotonic()
+            await asyncio.sleep(max(0.0, min(_POLL_S, remaining_s)))
+
+
+def report_text(record: ShiftRecord) -> str:
+    """Returns what a manager needs to know about a shift."""
+    lines = [
+        f"Shift {record.name} of {record.service}, from"
+        f" {record.from_version} to {record.to_version},"
+        f" {_RESULTS[record.state]}.",
+    ]
+    if record.reason:
+        lines.append(f"  Reason: {record.reason}")
+    lines.append(
+        f"  Share of the new version: {_percent(record.share_ppm)} of at"
+        f" most {_percent(record.cap_ppm)}"
+    )
+    lines.append(f"  Deadline: {_moment(record.deadline)}")
+    if record.accepted_at:
+        lines.append(f"  Accepted: {_moment(record.accepted_at)}")
+    for event in record.events:
+        lines.append(
+            f"  {_moment(event.at)}  {event.state.value:<10}"
+            f" {_percent(event.share_ppm):>6}  {event.reason}"
+        )
+    return "\n".join(lines)
+
+
+def _decode(entry: Entry) -> ShiftDocument:
+    try:
+        return document.decode(entry.value)
+    except msgspec.DecodeError as error:
+        raise CliError(
+            f"{document.KEY} in the store cannot be read: {error}",
+            ExitCode.UNAVAILABLE,
+        ) from error
+
+
+def _percent(ppm: int) -> str:
+    return f"{100 * ppm / _PPM:.3g}%"
+
+
+def _moment(unix_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(unix_s, datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S UTC")
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -9,6 +9,7 @@
 
 from radishmux.cli.schema import SCHEMAS, schema_text
 from radishmux.config.model import Configuration
+from radishmux.config.validation import validate
 from radishmux.settings.daemon import DaemonSettings
 from radishmux.settings.loader import load
 
@@ -36,6 +37,7 @@
             set(regions) - {region.name}
         )
         assert {one.bits_per_s for one in region.links} == {bits_per_s}
+    assert validate(configuration) == ()
     assert len(configuration.customers) == 8
     sizes = [one.labels["size"] for one in configuration.customers]
     assert 1 < sizes.count("large") < 4
