Add the demo and the process benchmarks

make demo had no script, and the goals for throughput and control traffic had no measurement. Both need radishmux.app and are not run yet.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,172 @@
+"""Control traffic against fleet size: `python -m bench.control`.
+
+Starts fleets of 3 to 40 daemons without callers and measures, for each
+daemon, the processor time, the bytes and number of control messages, the
+store calls and the resident memory. Straight lines through the means give
+the cost of one more instance.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import re
+import statistics
+import time
+import urllib.request
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from bench.fleet import Fleet, InstancePlan, load_configuration, plan_instances
+from radishmux.telemetry.catalogue import PREFIX
+
+_SIZES = (3, 5, 10, 20, 40)
+_SETTLE_S = 5.0
+_SAMPLE = re.compile(rf"^{PREFIX}(\w+?)(?:\{{(.*)\}})? (\S+)$")
+# Counters whose growth per second is reported, by the reported name.
+_COUNTERS = {
+    "control_bytes_total": "bytes_per_s",
+    "control_messages_total": "messages_per_s",
+    "heartbeats_total": "heartbeats_per_s",
+    "store_calls_total": "store_calls_per_s",
+}
+_FIELDS = (
+    "cpu_percent",
+    "bytes_per_s",
+    "messages_per_s",
+    "store_calls_per_s",
+    "resident_mb",
+)
+
+
+def scrape(admin: str) -> dict[str, float]:
+    """Returns the sum of all series of each metric."""
+    with urllib.request.urlopen(f"http://{admin}/metrics", timeout=5) as page:
+        text = page.read().decode()
+    totals: dict[str, float] = {}
+    for line in text.splitlines():
+        match = _SAMPLE.match(line)
+        if match is not None:
+            name = match[1]
+            totals[name] = totals.get(name, 0.0) + float(match[3])
+    return totals
+
+
+def plan_fleet(size: int) -> list[InstancePlan]:
+    """Returns `size` instances spread evenly over three regions."""
+    regions = load_configuration("association").regions
+    per_region = -(-size // len(regions))
+    plans = plan_instances(regions, per_region)
+    spread = [
+        plans[region * per_region + number]
+        for number in range(per_region)
+        for region in range(len(regions))
+    ]
+    return spread[:size]
+
+
+def measure_fleet(size: int, duration_s: float) -> dict[str, float]:
+    """Returns means over the daemons of one fleet."""
+    with Fleet(stop_s=2.0) as fleet:
+        fleet.start_platform(plan_fleet(size))
+        fleet.radishctl("config", "put", "deploy/association.jsonc")
+        fleet.start_daemons()
+        fleet.wait_ready(timeout_s=90.0)
+        time.sleep(_SETTLE_S)
+        before = [_sample(fleet, plan) for plan in fleet.instances]
+        time.sleep(duration_s)
+        after = [_sample(fleet, plan) for plan in fleet.instances]
+    rows = [
+        _difference(one, two) for one, two in zip(before, after, strict=True)
+    ]
+    result = {
+        name: round(statistics.mean(row[name] for row in rows), 3)
+        for name in rows[0]
+    }
+    return {"instances": size, **result}
+
+
+def slopes(rows: list[dict[str, float]]) -> dict[str, dict[str, float]]:
+    """Returns the line through each field against the fleet size."""
+    sizes = [row["instances"] for row in rows]
+    lines = {}
+    for field in rows[0]:
+        if field == "instances":
+            continue
+        values = [row[field] for row in rows]
+        line = statistics.linear_regression(sizes, values)
+        lines[field] = {
+            "per_instance": round(line.slope, 5),
+            "fixed": round(line.intercept, 3),
+        }
+    return lines
+
+
+def _sample(fleet: Fleet, plan: InstancePlan) -> dict[str, float]:
+    daemon = fleet.daemon(plan.instance)
+    totals = scrape(plan.admin)
+    return {
+        "at": time.monotonic(),
+        "cpu": daemon.cpu_seconds(),
+        "resident_mb": daemon.resident_mb(),
+        **{name: totals.get(name, 0.0) for name in _COUNTERS},
+    }
+
+
+def _difference(
+    before: dict[str, float], after: dict[str, float]
+) -> dict[str, float]:
+    elapsed_s = after["at"] - before["at"]
+    rates = {
+        reported: (after[name] - before[name]) / elapsed_s
+        for name, reported in _COUNTERS.items()
+    }
+    return {
+        "cpu_percent": 100 * (after["cpu"] - before["cpu"]) / elapsed_s,
+        **rates,
+        "resident_mb": after["resident_mb"],
+    }
+
+
+def run(sizes: list[int], duration_s: float) -> dict[str, Any]:
+    """Runs the benchmark and returns its results."""
+    rows = []
+    for size in sizes:
+        rows.append(measure_fleet(size, duration_s))
+        print(json.dumps(rows[-1]), flush=True)
+    lines = slopes(rows) if len(rows) > 1 else {}
+    return {"duration_s": duration_s, "rows": rows, "slopes": lines}
+
+
+def print_tables(report: dict[str, Any]) -> None:
+    """Prints the means and the lines."""
+    table = Table("instances", *_FIELDS, title="means of one instance")
+    for row in report["rows"]:
+        cells = [f"{row[field]:.2f}" for field in _FIELDS]
+        table.add_row(str(row["instances"]), *cells)
+    console = Console(width=100)
+    console.print(table)
+    for field, line in report["slopes"].items():
+        console.print(
+            f"{field}: {line['fixed']:g} + {line['per_instance']:g} x instances"
+        )
+
+
+def main() -> None:
+    """Runs the benchmark from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=list(_SIZES))
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--json", type=pathlib.Path)
+    arguments = parser.parse_args()
+    report = run(arguments.sizes, arguments.seconds)
+    print_tables(report)
+    if arguments.json is not None:
+        arguments.json.write_text(json.dumps(report, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -30,6 +30,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 _READY_S = 30.0
+# Longer than a daemon serves callers with old lookups (10 s).
 _STOP_S = 15.0
 _POLL_S = 0.05
 _LISTENING = re.compile(r"^listening (\S+)$")
@@ -140,12 +141,16 @@
 class Fleet:
     """A context manager that ends all its processes in every case.
 
+    Args:
+        stop_s: Seconds after which processes that still drain are killed.
+
     Attributes:
         store: Address of the store.
         instances: The entry instances that were started.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, stop_s: float = _STOP_S) -> None:
+        self._stop_s = stop_s
         self._folder = tempfile.TemporaryDirectory(prefix="radishmux-")
         self._path = pathlib.Path(self._folder.name)
         self._processes: list[Process] = []
@@ -158,7 +163,7 @@
         return self
 
     def __exit__(self, *exc: object) -> None:
-        deadline = time.monotonic() + _STOP_S
+        deadline = time.monotonic() + self._stop_s
         for process in reversed(self._processes):
             process.terminate()
         for process in reversed(self._processes):
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,375 @@
+"""Runs both users' workloads on a small fleet: `make demo`.
+
+Each pass starts three regions with three entry instances each, a store, an
+instance list and 24 backend servers on loopback, first with the Association's
+configuration and then with the Trust's. Every process ends with its pass.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import statistics
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+from msgspec.structs import replace
+from rich.console import Console
+from rich.table import Table
+
+from bench.fleet import (
+    Fleet,
+    FleetError,
+    InstancePlan,
+    Process,
+    load_configuration,
+    plan_instances,
+)
+from radishmux.cli.inspect_commands import merge_spans, span_tree
+from radishmux.config.model import BackendServer, Configuration
+
+_SEED = 20_261_204
+_USERS = ("association", "trust")
+_INSTANCES_PER_REGION = 3
+# Two servers for each of 4 services in 3 regions: 24 processes.
+_SERVERS_PER_SERVICE_AND_REGION = 2
+_REQUESTS = 600
+_CONCURRENCY = 24
+# No caller is left when a pass ends, so its daemons need not drain.
+_STOP_S = 1.0
+# The traced request is repeated until its selector is in force.
+_TRACE_TRIES = 60
+_TRACE_PAUSE_S = 0.1
+_PHOTO_BYTES = 300_000
+_DEADLINE_MS = "5000"
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """One kind of request in the mixed load.
+
+    Attributes:
+        weight: Share of the load, relative to the other kinds.
+        customer: Empty for a public route.
+    """
+
+    label: str
+    weight: int
+    customer: str
+    method: str
+    path: str
+    body_bytes: int = 0
+
+
+_KINDS: dict[str, tuple[Kind, ...]] = {
+    "association": (
+        Kind("look up a round", 10, "grand-hopital", "GET", "/rounds/rounds/7"),
+        Kind("public calendar", 2, "", "GET", "/rounds/calendar"),
+        Kind(
+            "log a tray lot", 5, "residences-du-cap", "POST", "/logs/lots", 80
+        ),
+        Kind(
+            *("dock photo", 1, "traiteur-laurier", "PUT", "/photos/carts/9"),
+            _PHOTO_BYTES,
+        ),
+        Kind(
+            *("confirm a credit", 3, "lavoir-central", "POST"),
+            *("/credits/confirm", 60),
+        ),
+        Kind(
+            *("above its rate", 8, "residence-saint-roch", "GET"),
+            "/rounds/rounds/8",
+        ),
+        Kind("wrong key", 1, "nobody", "GET", "/rounds/rounds/7"),
+    ),
+    "trust": (
+        Kind("pole status", 10, "market-traders", "GET", "/poles/status/3"),
+        Kind("public board", 2, "", "GET", "/poles/board"),
+        Kind(
+            *("refill order", 4, "pump-crews-accra", "POST"),
+            *("/refills/orders", 80),
+        ),
+        Kind("open a valve", 2, "pump-crews-tamale", "POST", "/refills/valves"),
+        Kind("payment", 3, "community-funds", "POST", "/payments/pay", 60),
+        Kind(
+            *("inspection photo", 1, "district-officers", "PUT"),
+            *("/inspections/photos/4", _PHOTO_BYTES),
+        ),
+        Kind("above its rate", 8, "clinics", "GET", "/poles/status/5"),
+        Kind("wrong key", 1, "nobody", "GET", "/poles/status/3"),
+    ),
+}
+# Label of the service that the traced request asks for.
+_READS = {"association": "kind=lookup", "trust": "kind=status"}
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """How one request ended."""
+
+    kind: str
+    outcome: str
+    verdict: str
+    attempts: int
+    latency_s: float
+
+
+class Caller:
+    """Sends requests as a caller does: lookup first, then the request."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, instances: Sequence[InstancePlan]
+    ) -> None:
+        self._session = session
+        self._instances = instances
+        self._random = random.Random(_SEED)
+        self._count = 0
+
+    async def send(self, kind: Kind) -> Answered:
+        """Looks up, sends one request and returns how it ended."""
+        started = time.perf_counter()
+        entry = self._random.choice(self._instances)
+        headers = _headers(kind)
+        address, ticket = await self._look_up(kind, entry, headers)
+        self._count += 1
+        if kind.method != "GET" and ticket:
+            headers["X-Radishmux-Request-Id"] = f"{ticket}/{self._count}"
+        return await self.send_to(address, kind, headers, started)
+
+    async def send_to(
+        self, address: str, kind: Kind, headers: dict[str, str], started: float
+    ) -> Answered:
+        """Sends one request to an instance."""
+        try:
+            async with self._session.request(
+                kind.method,
+                f"http://{address}{kind.path}",
+                data=b"x" * kind.body_bytes if kind.body_bytes else None,
+                headers=headers,
+            ) as response:
+                body = await response.read()
+                return _answered(kind, response, body, started)
+        except (OSError, aiohttp.ClientError, TimeoutError) as error:
+            spent = time.perf_counter() - started
+            return Answered(
+                kind.label, type(error).__name__, "may_have_run", 0, spent
+            )
+
+    async def _look_up(
+        self, kind: Kind, entry: InstancePlan, headers: dict[str, str]
+    ) -> tuple[str, str]:
+        service = kind.path.split("/")[1]
+        url = f"http://{entry.caller}/v1/lookup"
+        query = {"service": service, "region": entry.region}
+        async with self._session.get(
+            url, params=query, headers=headers
+        ) as response:
+            if response.status != 200:
+                return entry.caller, ""
+            answer = await response.json(content_type=None)
+            named = answer["instances"]
+            address = named[0]["address"] if named else entry.caller
+            return address, answer["ticket"]
+
+
+def _headers(kind: Kind) -> dict[str, str]:
+    headers = {"X-Radishmux-Deadline-Ms": _DEADLINE_MS}
+    if kind.customer:
+        headers["X-Radishmux-Key"] = f"demo-{kind.customer}"
+    return headers
+
+
+def _answered(
+    kind: Kind, response: aiohttp.ClientResponse, body: bytes, started: float
+) -> Answered:
+    outcome = "served"
+    if response.status != 200:
+        outcome = f"status {response.status}"
+        if b'"reason"' in body:
+            outcome = msgspec.json.decode(body)["reason"]
+    return Answered(
+        kind.label,
+        outcome,
+        response.headers.get("X-Radishmux-Verdict", ""),
+        int(response.headers.get("X-Radishmux-Attempts", "0")),
+        time.perf_counter() - started,
+    )
+
+
+def demo_configuration(user: str) -> Configuration:
+    """Returns a user's configuration with the servers that the demo runs."""
+    configuration = load_configuration(user)
+    kept: dict[tuple[str, str], list[BackendServer]] = {}
+    for server in configuration.backend_servers:
+        chosen = kept.setdefault((server.service, server.region), [])
+        if len(chosen) < _SERVERS_PER_SERVICE_AND_REGION:
+            chosen.append(server)
+    servers = [server for chosen in kept.values() for server in chosen]
+    return replace(configuration, backend_servers=servers)
+
+
+def start_servers(fleet: Fleet, configuration: Configuration) -> list[Process]:
+    """Starts a stand-in for each backend server."""
+    processes = [
+        fleet.start(
+            server.name,
+            *("standins.backend_server", "--listen", server.address),
+            *("--name", server.name, "--service", server.service),
+            *("--version", server.version, "--slots", str(server.slots)),
+        )
+        for server in configuration.backend_servers
+    ]
+    for process in processes:
+        process.listening()
+    return processes
+
+
+async def mixed_load(
+    kinds: Sequence[Kind], instances: Sequence[InstancePlan]
+) -> list[Answered]:
+    """Sends the mixed load and returns how each request ended."""
+    chooser = random.Random(_SEED)
+    chosen = chooser.choices(
+        kinds, [kind.weight for kind in kinds], k=_REQUESTS
+    )
+    waiting = iter(chosen)
+    answers: list[Answered] = []
+    async with aiohttp.ClientSession() as session:
+        caller = Caller(session, instances)
+
+        async def work() -> None:
+            for kind in waiting:
+                answers.append(await caller.send(kind))
+
+        await asyncio.gather(*(work() for _ in range(_CONCURRENCY)))
+    return answers
+
+
+async def traced_request(
+    kind: Kind, entry: InstancePlan, instances: Sequence[InstancePlan]
+) -> list[dict[str, Any]]:
+    """Returns the spans of a request that crossed two regions.
+
+    Sends sampled requests to one instance until one has spans of two
+    regions, and returns the spans of the last one if none has.
+    """
+    regions = {one.instance: one.region for one in instances}
+    spans: list[dict[str, Any]] = []
+    rng = random.Random(_SEED)
+    async with aiohttp.ClientSession() as session:
+        caller = Caller(session, instances)
+        for _ in range(_TRACE_TRIES):
+            trace_id = f"{rng.getrandbits(128):032x}"
+            headers = _headers(kind) | {
+                "traceparent": f"00-{trace_id}-{rng.getrandbits(64):016x}-01"
+            }
+            now = time.perf_counter()
+            await caller.send_to(entry.caller, kind, headers, now)
+            spans = await _collect(session, instances, trace_id)
+            if len({regions[span["instance"]] for span in spans}) > 1:
+                break
+            await asyncio.sleep(_TRACE_PAUSE_S)
+    return spans
+
+
+async def _collect(
+    session: aiohttp.ClientSession,
+    instances: Sequence[InstancePlan],
+    trace_id: str,
+) -> list[dict[str, Any]]:
+    async def read(admin: str) -> Any:
+        url = f"http://{admin}/v1/traces/{trace_id}"
+        async with session.get(url) as response:
+            if response.status != 200:
+                return []
+            return await response.json(content_type=None)
+
+    answers = await asyncio.gather(*(read(one.admin) for one in instances))
+    return merge_spans(list(answers))
+
+
+def print_summary(
+    console: Console, user: str, answers: Sequence[Answered], elapsed_s: float
+) -> None:
+    """Prints what was served, what was refused and why."""
+    table = Table("request", "sent", "served", "refused, by reason", "p50 ms")
+    kinds = dict.fromkeys(one.kind for one in answers)
+    for kind in kinds:
+        mine = [one for one in answers if one.kind == kind]
+        outcomes = collections.Counter(one.outcome for one in mine)
+        served = outcomes.pop("served", 0)
+        reasons = ", ".join(f"{name}: {n}" for name, n in outcomes.items())
+        p50_ms = 1000 * statistics.median(one.latency_s for one in mine)
+        table.add_row(
+            kind, str(len(mine)), str(served), reasons or "-", f"{p50_ms:.1f}"
+        )
+    verdicts = collections.Counter(one.verdict or "none" for one in answers)
+    attempts = sum(one.attempts for one in answers)
+    console.print(table)
+    console.print(
+        f"{user}: {len(answers)} requests in {elapsed_s:.1f} s; verdicts"
+        f" {dict(verdicts)}; attempts at backend servers: {attempts}"
+    )
+
+
+def run_user(console: Console, fleet: Fleet, user: str) -> None:
+    """Runs one user's pass on a running fleet."""
+    configuration = demo_configuration(user)
+    instances = fleet.instances
+    kinds = _KINDS[user]
+    started = time.perf_counter()
+    answers = asyncio.run(mixed_load(kinds, instances))
+    print_summary(console, user, answers, time.perf_counter() - started)
+    regions = [region.name for region in configuration.regions]
+    # Sends the last region's reads to the first, so that one can be traced.
+    fleet.radishctl(
+        *("selector", "put", "demo-crossing", "--position", "0"),
+        *("--service-label", _READS[user]),
+        *("--caller-region", regions[-1], "--allow", regions[0]),
+    )
+    entry = next(one for one in instances if one.region == regions[-1])
+    spans = asyncio.run(traced_request(kinds[0], entry, instances))
+    console.print(f"trace of '{kinds[0].label}' from {regions[-1]}:")
+    for line in span_tree(spans):
+        console.print("  " + line, markup=False)
+
+
+def main() -> int:
+    """Runs both passes."""
+    console = Console(width=100, highlight=False)
+    console.print(f"seed {_SEED}")
+    try:
+        for user in _USERS:
+            run_pass(console, user)
+    except FleetError as error:
+        console.print(str(error), markup=False)
+        return 1
+    return 0
+
+
+def run_pass(console: Console, user: str) -> None:
+    """Starts a fleet, runs one user's pass and ends the fleet."""
+    configuration = demo_configuration(user)
+    started = time.perf_counter()
+    with Fleet(_STOP_S) as fleet:
+        plans = plan_instances(configuration.regions, _INSTANCES_PER_REGION)
+        fleet.start_platform(plans)
+        servers = start_servers(fleet, configuration)
+        path = fleet.write(f"{user}.json", configuration)
+        fleet.radishctl("config", "put", str(path))
+        fleet.start_daemons()
+        fleet.wait_ready()
+        ready_s = time.perf_counter() - started
+        console.rule(f"{configuration.services[0].name}: {user}")
+        console.print(
+            f"{len(plans)} instances in {len(configuration.regions)} regions"
+            f" and {len(servers)} backend servers, ready in {ready_s:.1f} s"
+        )
+        run_user(console, fleet, user)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
