Require the peers' highest version for requests during a store outage

Cause: an instance that is heard again during an outage may have read a revocation before it; until its version is in force here, the predicate "store out for all" alone would admit the revoked key. Change: KeyCheck also compares the peers' versions, and evaluates the predicate at most every 0.1 s.

--- a/src/radishmux/keys/check.py
+++ b/src/radishmux/keys/check.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 from radishmux.config.index import ConfigIndex
@@ -19,6 +20,8 @@
 # the age of its knowledge is 4 s.
 _RETRY_AFTER_S = 1.0
 _MAX_NEXT_INSTANCES = 3
+# The predicate looks at the whole roster, too much for each request.
+_OUTAGE_CHECK_S = 0.1
 _UNAUTHORIZED = 401
 _UNAVAILABLE = 503
 
@@ -44,6 +47,9 @@
     def store_out_for_all(self, now: float) -> bool:
         """Whether no instance can reach the store."""
 
+    def config_versions(self) -> Mapping[str, int]:
+        """Returns the configuration version of each live peer."""
+
     def peers(self) -> Iterable[Instance]:
         """Returns all other instances with a known address."""
 
@@ -85,6 +91,8 @@
         # fill the cache.
         self._cached: dict[str, Customer] = {}
         self._cached_index: ConfigIndex | None = None
+        self._outage = False
+        self._outage_checked_at = -math.inf
 
     def check(
         self, key: str | None, route: Route, now: float
@@ -125,9 +133,22 @@
         return customer
 
     def _admits(self, now: float) -> bool:
-        return self._freshness.is_fresh(
-            now
-        ) or self._freshness.store_out_for_all(now)
+        return self._freshness.is_fresh(now) or self._outage_admits(now)
+
+    def _outage_admits(self, now: float) -> bool:
+        """Whether the store is out for all and nobody knows more.
+
+        A peer that was not heard until now may have read a revocation before
+        the outage; its version must be in force here first.
+        """
+        if now - self._outage_checked_at >= _OUTAGE_CHECK_S:
+            self._outage_checked_at = now
+            self._outage = self._freshness.store_out_for_all(now)
+        if not self._outage:
+            return False
+        known = self._freshness.config_versions().values()
+        own = self._state.index.configuration.version
+        return own >= max(known, default=0)
 
     def _find(self, key: str) -> Customer | None:
         index = self._state.index
--- a/standins/store.py
+++ b/standins/store.py
@@ -53,6 +53,7 @@
         self._state = StoreState()
         self._faults = Faults()
         self._down_at: dict[str, str] = {}
+        self._stale_at: set[str] = set()
         self._stale: dict[str, Pair] = {}
         self._calls: collections.Counter[str] = collections.Counter()
         self._open_watches = 0
@@ -87,7 +88,7 @@
                 await asyncio.sleep(faults.latency_ms / 1000)
             await self._hold_if_down(request)
             self._state.expire()
-            response = answer(body)
+            response = answer(body, local_address(request))
             await self._notify()
             if name in _WRITES and self._faults.lose_answers > 0:
                 self._faults.lose_answers -= 1
@@ -115,19 +116,23 @@
     def _down(self, address: str) -> str:
         return self._down_at.get(address, self._faults.down)
 
+    def _is_stale(self, address: str) -> bool:
+        return self._faults.stale_reads or address in self._stale_at
+
     def _header(self) -> dict[str, str]:
         return {"revision": str(self._state.revision)}
 
-    def _range(self, body: Any) -> web.Response:
-        stale = self._faults.stale_reads
-        pairs = self._stale if stale else self._state.pairs
+    def _range(self, body: Any, address: str) -> web.Response:
+        pairs = self._state.pairs
+        if self._is_stale(address):
+            pairs = self._stale
         pair = pairs.get(body["key"])
         answer: dict[str, Any] = {"header": self._header()}
         if pair is not None:
             answer |= {"kvs": [pair.to_json()], "count": "1"}
         return _json(answer)
 
-    def _txn(self, body: Any) -> web.Response:
+    def _txn(self, body: Any, address: str) -> web.Response:
         succeeded = all(
             self._state.mod_revision(one["key"])
             == int(one.get("mod_revision", 0))
@@ -150,7 +155,7 @@
             answer["responses"] = [done for _ in puts]
         return _json(answer)
 
-    def _grant(self, body: Any) -> web.Response:
+    def _grant(self, body: Any, address: str) -> web.Response:
         ttl_s = int(body["TTL"])
         lease_id = self._state.grant(ttl_s)
         return _json(
@@ -161,14 +166,14 @@
             }
         )
 
-    def _keepalive(self, body: Any) -> web.Response:
+    def _keepalive(self, body: Any, address: str) -> web.Response:
         result: dict[str, Any] = {"header": self._header(), "ID": body["ID"]}
         ttl_s = self._state.keep(int(body["ID"]))
         if ttl_s:
             result["TTL"] = str(ttl_s)
         return _json({"result": result})
 
-    def _revoke(self, body: Any) -> web.Response:
+    def _revoke(self, body: Any, address: str) -> web.Response:
         if not self._state.end_lease(int(body["ID"])):
             return _no_lease()
         return _json({"header": self._header()})
@@ -204,7 +209,7 @@
             if down == "refuse":
                 abort(request)
                 return
-            if down == "no" and not self._faults.stale_reads:
+            if down == "no" and not self._is_stale(address):
                 events = self._state.events
                 while position < len(events):
                     event = events[position]
@@ -247,9 +252,9 @@
     async def _control(self, request: web.Request) -> web.Response:
         """Sets faults.
 
-        Beside the fields of `Faults`: `listener` limits `down` to one
-        address; `lapse_leases` ends all leases now; `reset_counts` forgets
-        the counted calls.
+        Beside the fields of `Faults`: `listener` limits `down` and
+        `stale_reads` to one address; `lapse_leases` ends all leases now;
+        `reset_counts` forgets the counted calls.
         """
         change = msgspec.json.decode(await request.read())
         if change.pop("lapse_leases", False):
@@ -257,13 +262,13 @@
                 self._state.end_lease(lease_id)
         if change.pop("reset_counts", False):
             self._calls.clear()
+        if change.get("stale_reads") and not self._faults.stale_reads:
+            self._stale = dict(self._state.pairs)
         listener = change.pop("listener", None)
         if listener is not None:
-            self._down_at[listener] = change.pop("down", "no")
+            self._set_at(listener, change)
         elif "down" in change:
             self._down_at.clear()
-        if change.get("stale_reads") and not self._faults.stale_reads:
-            self._stale = dict(self._state.pairs)
         fields = msgspec.to_builtins(self._faults) | change
         try:
             self._faults = msgspec.convert(fields, Faults)
@@ -272,6 +277,15 @@
         await self._notify()
         return await self._show(request)
 
+    def _set_at(self, listener: str, change: dict[str, Any]) -> None:
+        """Takes the faults of one address out of `change`."""
+        if "down" in change:
+            self._down_at[listener] = change.pop("down")
+        if "stale_reads" in change:
+            self._stale_at.discard(listener)
+            if change.pop("stale_reads"):
+                self._stale_at.add(listener)
+
     async def _expiry(self, app: web.Application) -> Any:
         async def expire() -> None:
             while True:
--- a/tests/test_keys_model.py
+++ b/tests/test_keys_model.py
@@ -63,8 +63,10 @@
             version=self.truth.version + 1, customers=list(by_name.values())
         )
         self.accepted.append((self.now, self.truth))
-        # A write ends an outage for all.
+        # A write ends an outage for all, as members notice within the time
+        # for which the check keeps the predicate.
         self.member.out_for_all = False
+        self.now += 0.125
 
     def read(self) -> None:
         self.state.apply(self.truth)
@@ -116,10 +118,11 @@
         elif name == "wait":
             fleet.now += step[1]
         elif name == "store_out":
-            # Nobody reaches the store: all know the latest version.
-            if step[1]:
-                fleet.state.apply(fleet.truth)
+            # Nobody reaches the store, but one peer has the latest version.
             fleet.member.out_for_all = step[1]
+            if step[1]:
+                fleet.member.versions = {"b": fleet.truth.version}
+            fleet.now += 0.125
         else:
             _check_request(fleet, _KEYS[step[1]])
 
@@ -129,7 +132,10 @@
     result = fleet.check.check(key, _KEYED, now)
     expected = _naive_owner(fleet.state.current, key)
     member = fleet.member
-    admits = now - member.contact_at < 4.0 or member.out_for_all
+    knows_all = fleet.state.current.version >= max(
+        member.versions.values(), default=0
+    )
+    admits = now - member.contact_at < 4.0 or (member.out_for_all and knows_all)
     if isinstance(result, Refusal):
         assert result.verdict is Verdict.NOT_RUN
         assert result.reason == ("unknown_key" if admits else "not_fresh")
