Test racing operator processes and a store slower than its callers

Cause: writes that outlive their caller and racing operators were tested only within one process. Change: two operator processes make 8 changes each while 8 answers are lost; a write whose caller gave up after 0.1 s takes effect in a store with 0.4 s latency. Before: no such test.

--- a/tests/standin_processes.py
+++ b/tests/standin_processes.py
@@ -46,6 +46,22 @@
                 return await response.json()
 
 
+async def run_module(module: str, *arguments: str) -> bytes:
+    """Runs `python -m <module>` to its end and returns what it printed."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        module,
+        *arguments,
+        cwd=_ROOT,
+        env=os.environ | {"PYTHONPATH": f"{_ROOT}/src:{_ROOT}"},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    printed, _ = await process.communicate()
+    assert process.returncode == 0, printed
+    return printed
+
+
 @contextlib.asynccontextmanager
 async def standin(
     module: str,
--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -23,7 +26,7 @@
 from radishmux.outcome import Conflict, Unavailable, Unknown
 from radishmux.store.etcd import EtcdStore
 from tests.fakes import FakeMetrics, FakeStore
-from tests.standin_processes import standin
+from tests.standin_processes import run_module, standin
 
 _SEED = 20_261
 _FAULTS = ["ok", "ok", "ok", "lost", "dropped", "late", "down", "stale"]
@@ -175,3 +178,27 @@
         stored = decode_document(entry.value).configuration
         assert [r.name for r in stored.regions] == ["r0", "r1", "r3"]
         assert (await server.show())["calls"]["txn"] == 4
+
+
+async def test_operator_processes_race_while_answers_are_lost():
+    """Every change that was reported done is there once, and no other."""
+    async with (
+        standin("store") as server,
+        EtcdStore([server.address], FakeMetrics()) as store,
+    ):
+        await server.control(lose_answers=8, latency_ms=5)
+        printed = await asyncio.gather(
+            *(
+                run_module("tests.operator_process", server.address, name, "8")
+                for name in ("a", "b")
+            )
+        )
+        outcomes = [json.loads(one) for one in printed]
+        stored = decode_document((await store.get(CONFIG_KEY, 2)).value)
+        names = [region.name for region in stored.configuration.regions]
+        done = [name for one in outcomes for name in one["done"]]
+        unknown = {name for one in outcomes for name in one["unknown"]}
+        assert len(done) == 16
+        assert len(set(names)) == len(names) == stored.configuration.version
+        assert set(done) <= set(names) <= set(done) | unknown
+        assert (await server.show())["faults"]["lose_answers"] == 0
--- a/tests/test_store_etcd.py
+++ b/tests/test_store_etcd.py
@@ -118,6 +118,24 @@
         await until(written)
 
 
+async def test_slow_store_ends_calls_at_their_timeout_and_then_writes():
+    """The write takes effect although its caller has given up."""
+    async with (
+        standin("store") as server,
+        EtcdStore([server.address], FakeMetrics()) as store,
+    ):
+        await server.control(latency_ms=400)
+        lost = await store.compare_and_swap(_KEY, 0, b"one", 0.1)
+        assert isinstance(lost, Unknown)
+        assert isinstance(await store.get(_KEY, 0.1), Unavailable)
+
+        async def written() -> bool:
+            entry = await store.get(_KEY, 2)
+            return isinstance(entry, Entry) and entry.value == b"one"
+
+        await until(written)
+
+
 async def test_killed_store_did_not_run_a_write():
     async with (
         standin("store") as server,
