--- a/src/radishmux/peer/_framing.py
+++ b/src/radishmux/peer/_framing.py
@@ -16,8 +16,30 @@
     """The peer sent something that is no frame of ours."""
 
 
-async def read_envelope(reader: asyncio.StreamReader) -> Any:
-    """Reads one Envelope.
+class Traffic:
+    """Control traffic of one instance since its start.
+
+    Attributes:
+        sent_bytes: Frames written, replies included.
+        received_bytes: Frames read, replies included.
+    """
+
+    __slots__ = (
+        "received_bytes",
+        "received_messages",
+        "sent_bytes",
+        "sent_messages",
+    )
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self.received_bytes = 0
+        self.received_messages = 0
+
+
+async def read_envelope(reader: asyncio.StreamReader, traffic: Traffic) -> Any:
+    """Reads one Envelope and counts it.
 
     Raises:
         FrameError: The frame is too long or no Envelope.
@@ -28,14 +50,19 @@
     if length > MAX_FRAME_BYTES:
         raise FrameError(f"frame of {length} bytes")
     payload = await reader.readexactly(length)
+    traffic.received_bytes += length + _LENGTH_BYTES
+    traffic.received_messages += 1
     try:
         return messages.decode(payload)
     except Exception as error:  # The codec raises many unrelated types.
         raise FrameError("frame is no envelope") from error
 
 
-def write_envelope(writer: asyncio.StreamWriter, envelope: Any) -> int:
-    """Queues one Envelope for sending and returns its size in bytes."""
+def write_envelope(
+    writer: asyncio.StreamWriter, envelope: Any, traffic: Traffic
+) -> None:
+    """Queues one Envelope for sending and counts it."""
     payload = messages.encode(envelope)
     writer.write(len(payload).to_bytes(_LENGTH_BYTES, "big") + payload)
-    return len(payload) + _LENGTH_BYTES
+    traffic.sent_bytes += len(payload) + _LENGTH_BYTES
+    traffic.sent_messages += 1
--- a/src/radishmux/peer/bus.py
+++ b/src/radishmux/peer/bus.py
@@ -10,6 +10,7 @@
 from radishmux.peer import messages
 from radishmux.peer._framing import (
     FrameError,
+    Traffic,
     read_envelope,
     write_envelope,
 )
@@ -45,7 +46,7 @@
         self._addresses: dict[str, str] = {}
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
-        self._received_bytes = 0
+        self._traffic = Traffic()
 
     async def __aenter__(self) -> PeerBus:
         host, _, port = self._listen_address.rpartition(":")
@@ -78,9 +79,9 @@
         return tuple(self._addresses)
 
     @property
-    def sent_bytes(self) -> int:
-        """Bytes of requests sent to peers; replies are not counted."""
-        return sum(link.sent_bytes for link in self._links.values())
+    def traffic(self) -> Traffic:
+        """Bytes and messages exchanged with all peers since the start."""
+        return self._traffic
 
     def handle(self, message_type: type) -> Callable[[Handler], Handler]:
         """Returns a decorator that registers the handler of a message."""
@@ -112,7 +113,9 @@
             return PeerUnavailable("unknown instance")
         link = self._links.get(instance)
         if link is None:
-            link = PeerLink(self._instance, self._incarnation, address)
+            link = PeerLink(
+                self._instance, self._incarnation, address, self._traffic
+            )
             self._links[instance] = link
         return await link.request(message, timeout_s)
 
@@ -135,7 +138,7 @@
         answers: set[asyncio.Task[None]] = set()
         try:
             while True:
-                envelope = await read_envelope(reader)
+                envelope = await read_envelope(reader, self._traffic)
                 answer = asyncio.create_task(self._answer(envelope, writer))
                 answers.add(answer)
                 answer.add_done_callback(answers.discard)
@@ -171,5 +174,5 @@
             body=messages.wrap(reply),
         )
         with contextlib.suppress(OSError):
-            write_envelope(writer, answer)
+            write_envelope(writer, answer, self._traffic)
             await writer.drain()
--- a/src/radishmux/peer/link.py
+++ b/src/radishmux/peer/link.py
@@ -10,6 +10,7 @@
 from radishmux.peer import messages
 from radishmux.peer._framing import (
     FrameError,
+    Traffic,
     read_envelope,
     write_envelope,
 )
@@ -37,7 +38,13 @@
     and again after a failure.
     """
 
-    def __init__(self, sender: str, incarnation: int, address: str) -> None:
+    def __init__(
+        self,
+        sender: str,
+        incarnation: int,
+        address: str,
+        traffic: Traffic | None = None,
+    ) -> None:
         self._sender = sender
         self._incarnation = incarnation
         host, _, port = address.rpartition(":")
@@ -48,7 +55,7 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reader_task: asyncio.Task[None] | None = None
         self._connecting = asyncio.Lock()
-        self._sent_bytes = 0
+        self._traffic = traffic or Traffic()
 
     async def __aenter__(self) -> PeerLink:
         return self
@@ -56,11 +63,6 @@
     async def __aexit__(self, *exc: object) -> None:
         self._close("link closed")
 
-    @property
-    def sent_bytes(self) -> int:
-        """Bytes sent since the link was made."""
-        return self._sent_bytes
-
     async def request(
         self, message: Any, timeout_s: float
     ) -> Any | PeerUnavailable:
@@ -92,7 +94,7 @@
         )
         reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._waiting[self._correlation] = reply
-        self._sent_bytes += write_envelope(writer, envelope)
+        write_envelope(writer, envelope, self._traffic)
         return reply
 
     async def _connect(self) -> asyncio.StreamWriter:
@@ -112,7 +114,7 @@
         reason = "connection lost"
         try:
             while True:
-                envelope = await read_envelope(reader)
+                envelope = await read_envelope(reader, self._traffic)
                 reply = self._waiting.pop(envelope.correlation, None)
                 if reply is not None and not reply.done():
                     reply.set_result(messages.unwrap(envelope.body))
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -259,8 +259,7 @@
     ),
     _counter(
         "control_messages_total",
-        "Control messages by kind.",
-        "kind",
+        "Control messages; direction is 'sent' or 'received'.",
         "direction",
     ),
     _counter("pauses_total", "Times that this process was found paused."),
