Add the peer message VersionEvidence

Cause: one instance sees too few requests of a new version to find its fault within the target; instances pool evidence. Change: messages VersionEvidence and RouteEvidence, additive.

--- a/src/radishmux/peer/messages.py
+++ b/src/radishmux/peer/messages.py
@@ -27,8 +27,10 @@
 LoanRequest = _thrift.LoanRequest
 LoanReturn = _thrift.LoanReturn
 Release = _thrift.Release
+RouteEvidence = _thrift.RouteEvidence
 StoreRelay = _thrift.StoreRelay
 StoreRelayed = _thrift.StoreRelayed
+VersionEvidence = _thrift.VersionEvidence
 VersionStopped = _thrift.VersionStopped
 
 _PROTOCOL = TCyBinaryProtocolFactory()
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -90,6 +90,22 @@
   5: i64 epoch,
 }
 
+struct RouteEvidence {
+  1: string route,
+  // Sums of log likelihood ratios, and the requests behind them.
+  2: double errors,
+  3: i32 error_requests,
+  4: double latency,
+  5: i32 latency_requests,
+}
+
+struct VersionEvidence {
+  1: string service_name,
+  2: string version,
+  3: i64 epoch,
+  4: list<RouteEvidence> routes,
+}
+
 struct CrashReport {
   1: string digest,
   2: string request_id,
@@ -121,6 +137,7 @@
   11: CrashReport crash_report,
   12: Release release,
   13: Done done,
+  14: VersionEvidence version_evidence,
 }
 
 struct Envelope {
