--- a/src/radishmux/dispatch/cell_runtime.py
+++ b/src/radishmux/dispatch/cell_runtime.py
@@ -20,7 +20,8 @@
 from radishmux.dispatch.pool import CellPool
 from radishmux.dispatch.probes import Prober
 from radishmux.dispatch.silence import SilenceWatch
-from radishmux.peer.messages import CellLoad, CrashReport, Release
+from radishmux.membership.cell_loads import CellLoad
+from radishmux.peer.messages import CrashReport, Release
 from radishmux.telemetry.metrics import Metrics
 
 UPDATE_PERIOD_S = 0.05
--- a/src/radishmux/dispatch/pool.py
+++ b/src/radishmux/dispatch/pool.py
@@ -11,7 +11,7 @@
 
 from radishmux.config.model import BackendServer
 from radishmux.dispatch.backend import Backend
-from radishmux.peer.messages import CellLoad
+from radishmux.membership.cell_loads import CellLoad
 
 # Requests that may wait, as a multiple of the cell's slots.
 QUEUE_PER_SLOT = 4
--- a/src/radishmux/http/admin_app.py
+++ b/src/radishmux/http/admin_app.py
@@ -28,6 +28,7 @@
         tracer: Tracer,
         ready: Callable[[], bool],
         explain: Explain,
+        status: Callable[[], Any] | None = None,
     ) -> None:
         """Takes what the handlers ask.
 
@@ -36,16 +37,19 @@
             tracer: Holds the finished spans.
             ready: Whether the instance admits requests.
             explain: Returns the explanation for a trace id, or None.
+            status: Returns the state of the instance.
         """
         self._metrics = metrics
         self._tracer = tracer
         self._ready = ready
         self._explain = explain
+        self._status = status
         self.app: Sanic = new_app("admin", metrics)
         routes = {
             "/metrics": self._on_metrics,
             "/healthz": self._on_health,
             "/readyz": self._on_ready,
+            "/v1/status": self._on_status,
             "/v1/explain/<trace_id:str>": self._on_explain,
             "/v1/traces/<trace_id:str>": self._on_trace,
         }
@@ -64,6 +68,11 @@
             return _json({"status": "ready"})
         return _json({"status": "not ready"}, 503)
 
+    async def _on_status(self, request: Request) -> HTTPResponse:
+        if self._status is None:
+            return _json({"error": "no status"}, 404)
+        return _json(self._status())
+
     async def _on_explain(
         self, request: Request, trace_id: str
     ) -> HTTPResponse:
--- a/src/radishmux/telemetry/traces.py
+++ b/src/radishmux/telemetry/traces.py
@@ -231,6 +231,10 @@
             header = parent
         return self._child(name, header, attributes)
 
+    def set_sample_ratio(self, sample_ratio: float) -> None:
+        """Sets the fraction of requests without a parent that are traced."""
+        self._sample_ratio = sample_ratio
+
     def spans(self, trace_id: str) -> list[SpanRecord]:
         """Returns the finished spans of a trace, in order of their start."""
         found = [one for one in self._ring.records if one.trace_id == trace_id]
