--- a/src/radishmux/membership/roster_document.py
+++ b/src/radishmux/membership/roster_document.py
@@ -23,7 +23,6 @@
             measure the lapse of the entry from when they first saw it.
         joined: Value of `Roster.writes` at which the entry was made.
         renewed: Value of `Roster.writes` at the holder's latest write.
-        released: Whether the holder has given its weight up for good.
     """
 
     instance: str
@@ -37,7 +36,6 @@
     counter: int = 0
     joined: int = 0
     renewed: int = 0
-    released: bool = False
 
 
 class Roster(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/radishmux/membership/view.py
+++ b/src/radishmux/membership/view.py
@@ -139,8 +139,7 @@
         if now - self._store.heard_at < STORE_OUT_AFTER_S or not self._roster:
             return False
         return all(
-            entry.released
-            or self.incarnation_dead(entry.instance, entry.incarnation)
+            self.incarnation_dead(entry.instance, entry.incarnation)
             or self.hears(entry.instance, now)
             for entry in self._roster
             if entry.instance != self._own.instance
@@ -367,7 +366,6 @@
             entry.instance
             for entry in self._roster
             if entry.region == region
-            and not entry.released
             and not self.incarnation_dead(entry.instance, entry.incarnation)
         }
 
--- /dev/null
+++ b/src/radishmux/share/loans.py
@@ -0,0 +1,184 @@
+"""Books of the loans that an instance has given and taken.
+
+The lender counts a loan's duration from after it removed the fraction from
+its own bucket, and the borrower from before it asked, so that the borrower
+always ends first. A lost or late message loses capacity for at most the
+loan's duration and never creates any.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+LOAN_S = 2.0
+# Loans for requests that already wait. They are short, so that a fraction
+# borrowed for one token is soon back with the instance that needs its rate.
+URGENT_LOAN_S = 0.5
+MAX_LOAN_S = LOAN_S
+# Covers the difference in speed of the two clocks during one loan.
+CLOCK_MARGIN_S = 0.1
+
+
+class Lent(msgspec.Struct):
+    """A loan in the lender's book."""
+
+    fraction: float
+    until: float
+
+
+class Borrowed(msgspec.Struct):
+    """A loan in the borrower's book."""
+
+    lender: str
+    fraction: float
+    until: float
+    urgent: bool
+
+
+class Asked(msgspec.Struct):
+    """A request for a loan whose answer is outstanding."""
+
+    lender: str
+    sent_at: float
+    duration_s: float
+
+
+class LenderBook:
+    """Loans of one customer's share given to peers."""
+
+    __slots__ = ("_loans", "_total")
+
+    def __init__(self) -> None:
+        self._loans: dict[tuple[str, str], Lent] = {}
+        self._total = 0.0
+
+    @property
+    def total(self) -> float:
+        """Sum of the fractions that are lent now."""
+        return self._total
+
+    @property
+    def next_end(self) -> float:
+        """When the next loan ends; inf if there is none."""
+        return min((x.until for x in self._loans.values()), default=math.inf)
+
+    def get(self, borrower: str, loan_id: str) -> Lent | None:
+        """Returns a loan that has not ended."""
+        return self._loans.get((borrower, loan_id))
+
+    def lend(
+        self,
+        borrower: str,
+        loan_id: str,
+        fraction: float,
+        duration_s: float,
+        now: float,
+    ) -> None:
+        """Enters a loan; call after the bucket was reduced."""
+        until = now + duration_s + CLOCK_MARGIN_S
+        self._loans[borrower, loan_id] = Lent(fraction, until)
+        self._sum()
+
+    def extend(
+        self, borrower: str, loan_id: str, duration_s: float, now: float
+    ) -> float:
+        """Prolongs a loan and returns its fraction."""
+        loan = self._loans[borrower, loan_id]
+        loan.until = max(loan.until, now + duration_s + CLOCK_MARGIN_S)
+        return loan.fraction
+
+    def end(self, borrower: str, loan_id: str) -> Lent | None:
+        """Removes a loan that the borrower returned."""
+        loan = self._loans.pop((borrower, loan_id), None)
+        self._sum()
+        return loan
+
+    def end_due(self, now: float) -> None:
+        """Removes the loans that have ended."""
+        self._loans = {k: x for k, x in self._loans.items() if x.until > now}
+        self._sum()
+
+    def _sum(self) -> None:
+        self._total = math.fsum(x.fraction for x in self._loans.values())
+
+
+class BorrowerBook:
+    """Loans of one customer's share taken from peers."""
+
+    __slots__ = ("_asked", "_loans", "_total")
+
+    def __init__(self) -> None:
+        self._asked: dict[str, Asked] = {}
+        self._loans: dict[str, Borrowed] = {}
+        self._total = 0.0
+
+    @property
+    def total(self) -> float:
+        """Sum of the fractions that are borrowed now."""
+        return self._total
+
+    @property
+    def next_end(self) -> float:
+        """When the next loan ends; inf if there is none."""
+        return min((x.until for x in self._loans.values()), default=math.inf)
+
+    @property
+    def loans(self) -> dict[str, Borrowed]:
+        """The loans by id."""
+        return self._loans
+
+    @property
+    def asked(self) -> dict[str, Asked]:
+        """The outstanding requests by loan id."""
+        return self._asked
+
+    def ask(
+        self, loan_id: str, lender: str, duration_s: float, now: float
+    ) -> None:
+        """Notes a request; call before it is sent."""
+        self._asked[loan_id] = Asked(lender, now, duration_s)
+
+    def fail(self, loan_id: str) -> None:
+        """Forgets a request that got no answer."""
+        self._asked.pop(loan_id, None)
+
+    def grant(
+        self, loan_id: str, lender: str, fraction: float, now: float
+    ) -> bool:
+        """Enters the answer to a request.
+
+        Returns:
+            Whether the loan counts. A second answer to the same request, one
+            from another instance and one after the loan's end do not.
+        """
+        asked = self._asked.get(loan_id)
+        if asked is None or asked.lender != lender:
+            return False
+        del self._asked[loan_id]
+        until = asked.sent_at + asked.duration_s
+        if fraction <= 0.0 or now >= until:
+            return False
+        held = self._loans.get(loan_id)
+        if held is not None:
+            fraction = min(fraction, held.fraction)
+        urgent = asked.duration_s < LOAN_S
+        self._loans[loan_id] = Borrowed(lender, fraction, until, urgent)
+        self._sum()
+        return True
+
+    def end(self, loan_id: str) -> Borrowed | None:
+        """Removes a loan that goes back early."""
+        loan = self._loans.pop(loan_id, None)
+        self._asked.pop(loan_id, None)
+        self._sum()
+        return loan
+
+    def end_due(self, now: float) -> None:
+        """Removes the loans that have ended."""
+        self._loans = {k: x for k, x in self._loans.items() if x.until > now}
+        self._sum()
+
+    def _sum(self) -> None:
+        self._total = math.fsum(x.fraction for x in self._loans.values())
--- /dev/null
+++ b/src/radishmux/share/manager.py
@@ -0,0 +1,326 @@
+"""Admits requests within each customer's rate over the whole fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Protocol
+
+from radishmux.clock import Clock
+from radishmux.config.model import Customer
+from radishmux.membership.heartbeats import MetricsSink
+from radishmux.membership.view import MembershipView
+from radishmux.peer import messages
+from radishmux.peer.bus import PeerBus, Sender
+from radishmux.share.book import ShareBook
+from radishmux.share.customer_share import (
+    DECLINED,
+    PATIENCE_S,
+    Ask,
+    CustomerShare,
+    GiveBack,
+    Grant,
+)
+from radishmux.verdict import Refusal, Verdict
+
+PLAN_PERIOD_S = 0.25
+# Longest wait for a token.
+MAX_WAIT_S = 0.3
+# Requests per customer that may wait for a token at the same time.
+MAX_WAITING = 256
+# A request to a peer that times out closes the connection, so that it must
+# not be shorter than a heartbeat's.
+PEER_TIMEOUT_S = 1.0
+HAND_OVER_POLL_S = 0.05
+# Timers may fire this much early against the monotonic clock.
+TIMER_MARGIN_S = 0.001
+
+
+class LeaseHolder(Protocol):
+    """What the manager needs of membership.roster.RosterKeeper."""
+
+    def in_force(self, now: float) -> bool:
+        """Whether this instance may use its weight at `now`."""
+
+    def may_lend(self, now: float) -> bool:
+        """Whether the lease covers a loan that starts at `now`."""
+
+    def wake(self) -> None:
+        """Reads the roster soon."""
+
+    async def release(self) -> bool:
+        """Removes this instance's entry."""
+
+
+class ShareManager:
+    """Admission, background loans and the handlers of loan messages.
+
+    An async context manager.
+
+    Args:
+        book: The shares; the roster keeper sets their weight.
+        lease: This instance's lease on its weight.
+        view: Names the peers that may lend.
+        bus: Connections to the peers.
+        clock: Monotonic clock.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        book: ShareBook,
+        lease: LeaseHolder,
+        view: MembershipView,
+        bus: PeerBus,
+        clock: Clock,
+        metrics: MetricsSink,
+    ) -> None:
+        self._book = book
+        self._lease = lease
+        self._view = view
+        self._bus = bus
+        self._clock = clock
+        self._metrics = metrics
+        self._waiters: dict[str, dict[asyncio.Future[None], None]] = {}
+        self._sends: set[asyncio.Task[None]] = set()
+        self._plan_task: asyncio.Task[None] | None = None
+        self._release_watchers: list[Callable[[Any, Sender], None]] = []
+        bus.handle(messages.LoanRequest)(self._on_loan_request)
+        bus.handle(messages.LoanReturn)(self._on_loan_return)
+        bus.handle(messages.Release)(self._on_release)
+
+    async def __aenter__(self) -> ShareManager:
+        self._plan_task = asyncio.create_task(self._plan())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        tasks = list(self._sends)
+        if self._plan_task is not None:
+            tasks.append(self._plan_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def set_customers(self, customers: Iterable[Customer]) -> None:
+        """Applies the customers of a new configuration."""
+        self._book.set_customers(customers, self._clock.now())
+
+    def watch_release(self, callback: Callable[[Any, Sender], None]) -> None:
+        """Registers a callback for the Release messages of peers."""
+        self._release_watchers.append(callback)
+
+    async def admit(self, customer: Customer, wait_s: float) -> Refusal | None:
+        """Takes one token of a customer.
+
+        Args:
+            customer: Who sends the request.
+            wait_s: Longest useful wait, the request's remaining deadline; at
+                most 300 ms are used.
+
+        Returns:
+            None when the request is admitted.
+        """
+        share = self._book.get(customer.name)
+        if share is None:
+            return self._refuse_unknown(customer.name)
+        now = self._clock.now()
+        share.note_demand(now)
+        if self._take(share):
+            return None
+        wait_until = now + min(wait_s, MAX_WAIT_S)
+        while self._may_wait(share, wait_until):
+            await self._wait_for_token(share, wait_until)
+            if self._take(share):
+                self._metrics.count("share_waited", customer=share.name)
+                return None
+        return self._refuse(share)
+
+    async def hand_over(self) -> bool:
+        """Returns and releases everything; call when callers are gone.
+
+        Returns:
+            Whether the store accepted the release.
+        """
+        self._book.stop_lending()
+        returns = self._book.return_all(self._clock.now())
+        await asyncio.gather(*(self._send_return(back) for back in returns))
+        while not self._book.nothing_lent(self._clock.now()):
+            await asyncio.sleep(HAND_OVER_POLL_S)
+        released = await self._lease.release()
+        notice = messages.Release(
+            instance=self._bus.instance,
+            incarnation=self._bus.incarnation,
+            cells=[],
+        )
+        await self._bus.broadcast(notice, PEER_TIMEOUT_S)
+        return released
+
+    # Admission.
+
+    def _take(self, share: CustomerShare) -> bool:
+        # The clock is read here, right before the token is taken, so that a
+        # process that was frozen sees that its lease has ended. Without a
+        # weight all tokens are borrowed, and loans end by themselves.
+        now = self._clock.now()
+        if self._book.weight > 0 and not self._lease.in_force(now):
+            return False
+        return share.take(now)
+
+    def _may_wait(self, share: CustomerShare, wait_until: float) -> bool:
+        now = self._clock.now()
+        if now >= wait_until or not self._may_use(now):
+            return False
+        if len(self._waiters.get(share.name, ())) >= MAX_WAITING:
+            return False
+        soon = now + share.wait_s(now) < wait_until
+        return soon or not share.is_dry(now)
+
+    def _may_use(self, now: float) -> bool:
+        return self._book.weight == 0 or self._lease.in_force(now)
+
+    async def _wait_for_token(
+        self, share: CustomerShare, wait_until: float
+    ) -> None:
+        now = self._clock.now()
+        waiters = self._waiters.setdefault(share.name, {})
+        waiting = len(waiters) + 1
+        asks = self._book.ask_urgently(
+            share.name, self._lenders(), waiting, now
+        )
+        for ask in asks:
+            self._start(self._send_ask(ask))
+        wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiters[wake] = None
+        # Tokens accrue here too while peers are asked.
+        accrual_s = share.wait_s(now) + TIMER_MARGIN_S
+        timeout_s = min(wait_until - now, accrual_s, PATIENCE_S)
+        try:
+            await asyncio.wait((wake,), timeout=timeout_s)
+        finally:
+            waiters.pop(wake, None)
+
+    def _wake_waiters(self, customer: str) -> None:
+        for wake in self._waiters.get(customer, ()):
+            if not wake.done():
+                wake.set_result(None)
+
+    def _refuse(self, share: CustomerShare) -> Refusal:
+        now = self._clock.now()
+        if not self._may_use(now):
+            self._metrics.count("share_refusals", reason="no_rate_lease")
+            return Refusal(
+                verdict=Verdict.NOT_RUN,
+                reason="no_rate_lease",
+                message="This instance has no current share of the rate.",
+                retry_after_s=1.0,
+                next_instances=self._other_addresses(),
+            )
+        self._metrics.count(
+            "share_refusals", reason="rate_exceeded", customer=share.name
+        )
+        return Refusal(
+            verdict=Verdict.NOT_RUN,
+            reason="rate_exceeded",
+            message=f"Customer {share.name} exceeds its rate and burst.",
+            status=429,
+            retry_after_s=min(share.wait_s(now), 1.0),
+        )
+
+    def _refuse_unknown(self, name: str) -> Refusal:
+        self._metrics.count("share_refusals", reason="unknown_customer")
+        return Refusal(
+            verdict=Verdict.NOT_RUN,
+            reason="unknown_customer",
+            message=f"Customer {name} is not in the configuration.",
+            status=403,
+        )
+
+    def _other_addresses(self) -> tuple[str, ...]:
+        own = self._view.own.instance
+        return tuple(
+            instance.caller_address
+            for instance in self._view.live()
+            if instance.instance != own
+            and not self._view.is_leaving(instance.instance)
+        )[:2]
+
+    # Loans.
+
+    def _lenders(self) -> tuple[str, ...]:
+        own = self._view.own.instance
+        return tuple(
+            instance.instance
+            for instance in self._view.live()
+            if instance.instance != own
+        )
+
+    async def _plan(self) -> None:
+        while True:
+            asks, returns = self._book.plan(self._lenders(), self._clock.now())
+            for ask in asks:
+                self._start(self._send_ask(ask))
+            for back in returns:
+                self._start(self._send_return(back))
+            await asyncio.sleep(PLAN_PERIOD_S)
+
+    def _start(self, send: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(send)
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
+
+    async def _send_ask(self, ask: Ask) -> None:
+        message = messages.LoanRequest(
+            customer=ask.customer,
+            loan_id=ask.loan_id,
+            fraction=ask.fraction,
+            duration_ms=round(ask.duration_s * 1000),
+        )
+        reply = await self._bus.request(ask.lender, message, PEER_TIMEOUT_S)
+        now = self._clock.now()
+        if not isinstance(reply, messages.LoanGrant):
+            self._book.fail(ask, now)
+            self._metrics.count("loan_failures")
+        else:
+            grant = Grant(reply.fraction, reply.tokens)
+            self._book.take_grant(ask, ask.lender, grant, now)
+            granted = "granted" if reply.fraction > 0 else "declined"
+            self._metrics.count("loans_asked", outcome=granted)
+        self._wake_waiters(ask.customer)
+
+    async def _send_return(self, back: GiveBack) -> None:
+        message = messages.LoanReturn(loan_id=back.loan_id, tokens=back.tokens)
+        await self._bus.request(back.lender, message, PEER_TIMEOUT_S)
+
+    async def _on_loan_request(self, request: Any, sender: Sender) -> Any:
+        now = self._clock.now()
+        grant = DECLINED
+        if self._lease.may_lend(now):
+            grant = self._book.lend(
+                sender.instance,
+                request.customer,
+                request.loan_id,
+                request.fraction,
+                request.duration_ms / 1000,
+                now,
+            )
+        return messages.LoanGrant(
+            loan_id=request.loan_id,
+            fraction=grant.fraction,
+            tokens=grant.tokens,
+            config_version=0,
+        )
+
+    async def _on_loan_return(self, message: Any, sender: Sender) -> Any:
+        taken = self._book.take_back(
+            sender.instance,
+            message.loan_id,
+            message.tokens,
+            self._clock.now(),
+        )
+        return messages.Done(accepted=taken, reason="")
+
+    async def _on_release(self, message: Any, sender: Sender) -> Any:
+        self._lease.wake()
+        for callback in self._release_watchers:
+            callback(message, sender)
+        return messages.Done(accepted=True, reason="")
