--- /dev/null
+++ b/src/radishmux/app.py
@@ -0,0 +1,326 @@
+"""Composition root: builds the parts of a daemon and wires them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+from loguru import logger
+
+import radishmux.instances.http  # noqa: F401  Registers its driver.
+import radishmux.store.etcd  # noqa: F401  Registers its driver.
+from radishmux.clock import SystemClock
+from radishmux.config.distribution import Distribution
+from radishmux.config.state import ConfigState
+from radishmux.dispatch.cell_runtime import CellRuntime
+from radishmux.dispatch.cells import CellMap
+from radishmux.dispatch.crashes import CrashMarks
+from radishmux.dispatch.dispatcher import Dispatcher
+from radishmux.dispatch.gate import DispatchGate
+from radishmux.dispatch.observer import Observer
+from radishmux.dispatch.silence import SilenceWatch
+from radishmux.dispatch.versions import Versions
+from radishmux.http._sanic import SanicServer
+from radishmux.http.admin_app import AdminApp
+from radishmux.http.caller_app import CallerApp
+from radishmux.http.forwarder import PeerForwarder
+from radishmux.http.peer_app import PeerApp
+from radishmux.http.request_flow import RequestFlow
+from radishmux.instances.interface import Instance, instance_list_drivers
+from radishmux.keys.check import KeyCheck
+from radishmux.membership.heartbeats import Heartbeats
+from radishmux.membership.roster import RosterKeeper
+from radishmux.membership.view import MembershipView
+from radishmux.once.ledger import RequestLedger
+from radishmux.once.tickets import TicketIssuer
+from radishmux.peer.bus import PeerBus
+from radishmux.peer.notices import PeerNotices
+from radishmux.settings.daemon import DaemonSettings
+from radishmux.share.book import ShareBook
+from radishmux.share.manager import ShareManager
+from radishmux.shift.chooser import VersionChooser
+from radishmux.status import StatusReporter
+from radishmux.steer.lookup import TTL_S, Lookup
+from radishmux.steer.region import RegionChooser
+from radishmux.steer.region_loads import RegionLoadSum
+from radishmux.steer.selector import SelectorTable
+from radishmux.store.budget import BudgetedStore
+from radishmux.store.interface import Store, store_drivers
+from radishmux.store.relay import RelayedStore
+from radishmux.telemetry import logs
+from radishmux.telemetry.explain import Explainer
+from radishmux.telemetry.metrics import Metrics
+from radishmux.telemetry.traces import Tracer
+
+# Longest wait for requests in flight after callers' lookups have expired.
+MAX_DRAIN_S = 60.0
+_DRAIN_POLL_S = 0.05
+
+
+class NoBlocks:
+    """Stands for a table of client blocks while none is configured."""
+
+    __slots__ = ()
+
+    def region_of(self, address: str) -> str | None:
+        """Returns None: the region of an address is not known."""
+        return None
+
+
+class App:
+    """All parts of one daemon; an async context manager.
+
+    Parts are entered in the order of their dependencies and left in the
+    reverse order.
+    """
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._was_ready = False
+        self._clock = SystemClock()
+        self._metrics = Metrics()
+        self._tracer = Tracer(
+            settings.traces.sample_ratio,
+            settings.traces.keep,
+            settings.instance,
+        )
+        # Grows with each restart as long as wall clocks do not go back by
+        # more than the time that a restart takes.
+        self._incarnation = time.time_ns() // 1_000_000
+        self._own = Instance(
+            instance=settings.instance,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            caller_address=settings.listen.caller,
+            peer_address=settings.listen.peer,
+            control_address=settings.listen.control,
+        )
+
+    async def __aenter__(self) -> App:
+        logs.configure(
+            self._settings.logs, self._settings.instance, self._settings.region
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            await self._enter_control(stack)
+            await self._enter_steering(stack)
+            await self._enter_requests(stack)
+            self._stack = stack.pop_all()
+        logs.state_change("instance", "started", incarnation=self._incarnation)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self._stack.aclose()
+        logs.state_change("instance", "stopped")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may use this instance.
+
+        A starting instance waits until the cells of its region have
+        dispatchers; later changes of dispatcher do not make it unready.
+        """
+        if not self._was_ready:
+            self._was_ready = self._distribution.ready and all(
+                self._view.cell_load(cell.name) is not None
+                for cell in self._cells.all()
+                if cell.region == self._own.region
+            )
+        return self._was_ready and not self._view.is_leaving(self._own.instance)
+
+    def reload(self, settings: DaemonSettings) -> None:
+        """Applies the settings that can change while the daemon runs."""
+        logs.configure(settings.logs, settings.instance, settings.region)
+        self._tracer.set_sample_ratio(settings.traces.sample_ratio)
+        logger.info("settings reloaded")
+
+    async def drain(self) -> None:
+        """Hands over and waits until no caller uses this instance.
+
+        Lookups stop naming the instance first. It serves until the answers
+        that named it have expired and the requests in flight have ended.
+        """
+        logs.state_change("instance", "leaving")
+        self._view.set_leaving()
+        await self._heartbeats.announce()
+        await asyncio.sleep(TTL_S)
+        try:
+            async with asyncio.timeout(MAX_DRAIN_S):
+                while self._in_flight:
+                    await asyncio.sleep(_DRAIN_POLL_S)
+        except TimeoutError:
+            logs.state_change(
+                "drain", "incomplete", "WARNING", in_flight=self._in_flight
+            )
+        await self._shares.hand_over()
+
+    @property
+    def _in_flight(self) -> int:
+        return (
+            self._caller_app.in_flight
+            + self._peer_app.in_flight
+            + self._flow.running
+            + self._runtime.in_use
+        )
+
+    async def _enter_control(self, stack: contextlib.AsyncExitStack) -> None:
+        """Enters membership, store and configuration."""
+        settings, clock, metrics = self._settings, self._clock, self._metrics
+        own = self._own
+        self._view = MembershipView(own, self._incarnation, clock.now())
+        self._bus = await stack.enter_async_context(
+            PeerBus(own.instance, self._incarnation, own.control_address)
+        )
+        self._notices = PeerNotices(self._bus)
+        store = await self._enter_store(stack)
+        instance_list = await stack.enter_async_context(
+            instance_list_drivers[settings.instance_list.driver](
+                settings.instance_list.addresses, metrics
+            )
+        )
+        self._heartbeats = await stack.enter_async_context(
+            Heartbeats(
+                self._view,
+                self._bus,
+                instance_list,
+                clock,
+                metrics,
+                settings.instance_list.period_s,
+            )
+        )
+        book = ShareBook(own.instance, self._incarnation)
+        self._roster = await stack.enter_async_context(
+            RosterKeeper(store, self._view, book, clock, metrics)
+        )
+        self._config = ConfigState()
+        self._shares = await stack.enter_async_context(
+            ShareManager(
+                book, self._roster, self._view, self._bus, clock, metrics
+            )
+        )
+        self._config.watch(lambda c: self._shares.set_customers(c.customers))
+        self._config.watch(lambda c: self._view.set_config_version(c.version))
+        self._distribution = await stack.enter_async_context(
+            Distribution(
+                store, self._config, self._bus, self._view, own, clock, metrics
+            )
+        )
+
+    async def _enter_store(self, stack: contextlib.AsyncExitStack) -> Store:
+        driver = store_drivers[self._settings.store.driver]
+        direct = await stack.enter_async_context(
+            driver(self._settings.store.addresses, self._metrics)
+        )
+        budgeted = BudgetedStore(
+            direct,
+            lambda: len(self._view.live()),
+            self._clock,
+            self._metrics,
+        )
+        return RelayedStore(
+            budgeted, self._bus, self._view, self._clock, self._metrics
+        )
+
+    async def _enter_steering(self, stack: contextlib.AsyncExitStack) -> None:
+        """Enters lookups, versions and the dispatch of cells."""
+        clock, metrics, own = self._clock, self._metrics, self._own
+        self._tickets = TicketIssuer(own.instance, self._incarnation)
+        self._selectors = SelectorTable(self._config)
+        self._lookup = Lookup(
+            own.region, self._config, self._selectors, self._view, self._tickets
+        )
+        self._blocks = NoBlocks()
+        self._cells = CellMap(self._config, self._view)
+        self._regions = RegionChooser(
+            own.region, self._config, RegionLoadSum(self._cells, self._view)
+        )
+        self._chooser = VersionChooser(self._config)
+        gate = DispatchGate(clock, self._view)
+        marks = CrashMarks()
+        watch = SilenceWatch()
+        self._runtime = CellRuntime(
+            instance=own.instance,
+            incarnation=self._incarnation,
+            region=own.region,
+            clock=clock,
+            cells=self._cells,
+            members=self._view,
+            gate=gate,
+            marks=marks,
+            watch=watch,
+            tell=self._notices.tell,
+            tell_all=self._notices.tell_all,
+            metrics=metrics,
+        )
+        self._shares.watch_release(
+            lambda release, sender: self._runtime.on_release(
+                sender.instance, release
+            )
+        )
+        self._notices.on_crash_report(self._runtime.on_crash_report)
+        await stack.enter_async_context(self._runtime)
+        self._heartbeats.set_loads_source(lambda: self._runtime.loads)
+        self._dispatcher = Dispatcher(
+            clock=clock,
+            runtime=self._runtime,
+            gate=gate,
+            versions=Versions(self._chooser, self._config),
+            observer=Observer(clock, self._chooser, metrics),
+            marks=marks,
+            watch=watch,
+            metrics=metrics,
+        )
+
+    async def _enter_requests(self, stack: contextlib.AsyncExitStack) -> None:
+        """Enters the request path and the HTTP servers."""
+        clock, metrics, own = self._clock, self._metrics, self._own
+        forwarder = await stack.enter_async_context(
+            PeerForwarder(clock, metrics)
+        )
+        keys = KeyCheck(self._config, self._view, metrics)
+        self._flow = RequestFlow(
+            instance=own.instance,
+            incarnation=self._incarnation,
+            region=own.region,
+            clock=clock,
+            config=self._config,
+            keys=keys,
+            shares=self._shares,
+            tickets=self._tickets,
+            ledger=RequestLedger(self._tickets),
+            selectors=self._selectors,
+            regions=self._regions,
+            cells=self._cells,
+            dispatcher=self._dispatcher,
+            forwarder=forwarder,
+            members=self._view,
+            metrics=metrics,
+        )
+        self._caller_app = CallerApp(
+            self._flow,
+            self._lookup,
+            self._blocks,
+            keys,
+            clock,
+            metrics,
+            self._tracer,
+        )
+        self._peer_app = PeerApp(self._flow, clock, metrics, self._tracer)
+        status = StatusReporter(
+            self._view, self._config, self._roster, self._runtime, clock
+        )
+        admin_app = AdminApp(
+            metrics,
+            self._tracer,
+            lambda: self.is_ready,
+            Explainer(self._tracer).explain,
+            lambda: status.report(self.is_ready),
+        )
+        listen = self._settings.listen
+        for application, address in (
+            (self._peer_app.app, listen.peer),
+            (admin_app.app, listen.admin),
+            (self._caller_app.app, listen.caller),
+        ):
+            await stack.enter_async_context(SanicServer(application, address))
--- a/src/radishmux/share/manager.py
+++ b/src/radishmux/share/manager.py
@@ -109,20 +109,20 @@
         """Registers a callback for the Release messages of peers."""
         self._release_watchers.append(callback)
 
-    async def admit(self, customer: Customer, wait_s: float) -> Refusal | None:
+    async def admit(self, customer: str, wait_s: float) -> Refusal | None:
         """Takes one token of a customer.
 
         Args:
-            customer: Who sends the request.
+            customer: Name of the customer that sends the request.
             wait_s: Longest useful wait, the request's remaining deadline; at
                 most 300 ms are used.
 
         Returns:
             None when the request is admitted.
         """
-        share = self._book.get(customer.name)
+        share = self._book.get(customer)
         if share is None:
-            return self._refuse_unknown(customer.name)
+            return self._refuse_unknown(customer)
         now = self._clock.now()
         share.note_demand(now)
         if self._take(share):
@@ -207,7 +207,9 @@
     def _refuse(self, share: CustomerShare) -> Refusal:
         now = self._clock.now()
         if not self._may_use(now):
-            self._metrics.count("share_refusals", reason="no_rate_lease")
+            self._metrics.count(
+                "share_refusals", reason="no_rate_lease", customer=share.name
+            )
             return Refusal(
                 verdict=Verdict.NOT_RUN,
                 reason="no_rate_lease",
@@ -227,7 +229,9 @@
         )
 
     def _refuse_unknown(self, name: str) -> Refusal:
-        self._metrics.count("share_refusals", reason="unknown_customer")
+        self._metrics.count(
+            "share_refusals", reason="unknown_customer", customer=""
+        )
         return Refusal(
             verdict=Verdict.NOT_RUN,
             reason="unknown_customer",
