--- a/bench/telemetry.py
+++ b/bench/telemetry.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import argparse
 import json
+import pathlib
 import statistics
 import time
 from collections.abc import Callable
@@ -57,5 +59,16 @@
     return {name: _nanoseconds(call) for name, call in calls.items()}
 
 
+def main() -> None:
+    """Runs the benchmark from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", type=pathlib.Path)
+    arguments = parser.parse_args()
+    text = json.dumps(measure(), indent=1) + "\n"
+    print(text, end="")
+    if arguments.json is not None:
+        arguments.json.write_text(text)
+
+
 if __name__ == "__main__":
-    print(json.dumps(measure(), indent=2))
+    main()
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -27,6 +27,7 @@
     FleetError,
     InstancePlan,
     Process,
+    free_addresses,
     load_configuration,
     plan_instances,
 )
@@ -200,7 +201,10 @@
 
 
 def demo_configuration(user: str) -> Configuration:
-    """Returns a user's configuration with the servers that the demo runs."""
+    """Returns a user's configuration with the servers that the demo runs.
+
+    They get free ports, so that two demos can run at the same time.
+    """
     configuration = load_configuration(user)
     kept: dict[tuple[str, str], list[BackendServer]] = {}
     for server in configuration.backend_servers:
@@ -208,6 +212,11 @@
         if len(chosen) < _SERVERS_PER_SERVICE_AND_REGION:
             chosen.append(server)
     servers = [server for chosen in kept.values() for server in chosen]
+    addresses = free_addresses(len(servers))
+    servers = [
+        replace(server, address=address)
+        for server, address in zip(servers, addresses, strict=True)
+    ]
     return replace(configuration, backend_servers=servers)
 
 
