Hold watches in the slow-store test and check read times exactly

Cause: two guards could be removed without a failing test: the read timeout above the writers' (a watch brought the version first), and the direct reads of instances that do not watch. Change: the store's stand-in can hold watches back; the test of due reads compares each decision with the rule. After: with READ_TIMEOUT_S at 1 s, and without direct reads of other instances, a test fails.

--- a/standins/store.py
+++ b/standins/store.py
@@ -34,6 +34,7 @@
         lose_answers: Number of coming writes whose answer is lost after
             they took effect.
         lost_answer: How an answer is lost: "reset" or "hang".
+        hold_watches: Whether watches say nothing, as when they lag.
         stale_reads: Whether reads and new watches show the state of the
             moment at which this was set.
     """
@@ -43,6 +44,7 @@
     down: str = "no"
     lose_answers: int = 0
     lost_answer: str = "reset"
+    hold_watches: bool = False
     stale_reads: bool = False
 
 
@@ -209,7 +211,8 @@
             if down == "refuse":
                 abort(request)
                 return
-            if down == "no" and not self._is_stale(address):
+            held = self._faults.hold_watches or self._is_stale(address)
+            if down == "no" and not held:
                 events = self._state.events
                 while position < len(events):
                     event = events[position]
--- a/tests/test_config_fleet.py
+++ b/tests/test_config_fleet.py
@@ -93,10 +93,13 @@
 
 
 async def test_revoked_key_stops_while_the_store_is_slow():
-    """Calls take 1.5 s, which a writer's timeout of 2 s still allows."""
+    """Calls take 1.5 s, which a writer's timeout of 2 s still allows.
+
+    Watches lag by more than that, so that only reads bring the version.
+    """
     async with _operated() as (running, writer):
         running.set_roster()
-        await running.server.control(latency_ms=1_500)
+        await running.server.control(latency_ms=1_500, hold_watches=True)
         await _set_keys(writer, "k2")
         await until(
             lambda: all(
--- a/tests/test_config_model.py
+++ b/tests/test_config_model.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -22,6 +24,7 @@
 from radishmux.config.state import ConfigState
 from radishmux.config.sync_plan import (
     READ_PERIOD_S,
+    ReadAnswer,
     SyncPlan,
     watching_instance,
 )
@@ -201,24 +204,28 @@
 @given(
     st.lists(st.floats(0.0, 6.0), min_size=1, max_size=60),
     st.booleans(),
+    st.booleans(),
     st.integers(1, 6_000),
 )
 def test_reads_are_due_by_age_and_never_above_the_fleets_rate(
-    ages: list[float], watches: bool, fleet_size: int
+    ages: list[float], watches: bool, is_ready: bool, fleet_size: int
 ):
     """Failure guarded: a fleet that overloads a store that comes back."""
     plan = SyncPlan()
     plan.note_round(0, {}, 0)
-    sent: list[float] = []
+    if is_ready:
+        plan.confirms(ReadAnswer.IN_FORCE, 0, {})
+    period = 0.5 if watches else max(0.5, fleet_size / 200.0)
+    last = -math.inf
     for step, age in enumerate(ages):
         now = step * 0.25
-        if plan.should_read(now, watches, age, fleet_size):
-            assert watches or age >= 2.0 or not plan.ready
-            sent.append(now)
+        wanted = watches or age >= 2.0 or not is_ready
+        expected = wanted and now - last >= period
+        due = plan.should_read(now, watches, age, fleet_size)
+        assert due == expected
+        if due:
+            last = now
             plan.note_read_sent(now)
-    period = 0.5 if watches else max(0.5, fleet_size / 200.0)
-    gaps = [b - a for a, b in zip(sent, sent[1:], strict=False)]
-    assert all(gap >= period for gap in gaps)
 
 
 def test_one_instance_of_a_region_watches_and_another_takes_over():
