--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -259,8 +259,7 @@
     ),
     _counter(
         "control_messages_total",
-        "Control messages by kind.",
-        "kind",
+        "Control messages; direction is 'sent' or 'received'.",
         "direction",
     ),
     _counter("pauses_total", "Times that this process was found paused."),
@@ -350,3 +349,9 @@
     *_SHIFTS,
     *_PROCESS,
 )
+
+# What each span covers, by its name.
+SPANS: dict[str, str] = {
+    "request": "A caller's request, on the instance that received it.",
+    "peer": "The same request on an instance that another one sent it to.",
+}
