Drop the caller's traceparent where this hop adds its own

A forwarded request carried two traceparent headers, the caller's first, so that the next hop's span was not a child of this hop's.

Before: the demo's peer span had no parent in the trace. After: request_headers drops the caller's header; without it the added test fails.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -100,7 +100,7 @@
             *("inspection photo", 1, "district-officers", "PUT"),
             *("/inspections/photos/4", _PHOTO_BYTES),
         ),
-        Kind("above its rate", 8, "clinics", "GET", "/poles/status/5"),
+        Kind("above its rate", 16, "clinics", "GET", "/poles/status/5"),
         Kind("wrong key", 1, "nobody", "GET", "/poles/status/3"),
     ),
 }
--- a/src/radishmux/http/headers.py
+++ b/src/radishmux/http/headers.py
@@ -46,8 +46,13 @@
         "upgrade",
     )
 )
-# Set anew on each hop by the HTTP library, or answered by this hop.
-_REQUEST_DROPPED = _HOP_BY_HOP | {"host", "content-length", "expect"}
+# Set anew on each hop, or answered by this hop.
+_REQUEST_DROPPED = _HOP_BY_HOP | {
+    "host",
+    "content-length",
+    "expect",
+    "traceparent",
+}
 _ANSWER_DROPPED = _HOP_BY_HOP | {"content-length", "date", "server"}
 
 
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from radishmux.http.headers import request_headers
 from radishmux.settings.daemon import LogFormat, LogSettings
 from radishmux.telemetry import logs, metrics
 from radishmux.telemetry.catalogue import METRICS, SPANS
@@ -112,6 +113,12 @@
     assert dispatch.instance == "b"
 
 
+def test_the_callers_trace_header_is_not_passed_on_beside_our_own():
+    # The next hop reads the first one and would not see this hop's span.
+    headers = [("traceparent", "00-1-2-01"), ("accept", "*/*")]
+    assert request_headers(headers) == [("accept", "*/*")]
+
+
 def test_the_next_hop_does_not_sample_what_the_first_did_not():
     first, second = Tracer(0.0, 10), Tracer(1.0, 10)
     with first.span("request") as outer:
