--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
 import re
 import select
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -33,6 +33,7 @@
 # Longer than a daemon serves callers with old lookups (10 s).
 _STOP_S = 15.0
 _POLL_S = 0.05
+_ports = itertools.count(20_000)
 _LISTENING = re.compile(r"^listening (\S+)$")
 
 
@@ -302,14 +303,15 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns addresses whose ports were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            one = stack.enter_context(socket.socket())
-            one.bind(("127.0.0.1", 0))
-            ports.append(one.getsockname()[1])
-    return [f"127.0.0.1:{port}" for port in ports]
+    """Returns addresses that no other process of a test run uses.
+
+    The IP number is this process's own. The ports lie below those that the
+    system gives to outgoing connections, one of which could otherwise take a
+    port before the process that is to listen on it has started.
+    """
+    pid = os.getpid()
+    host = f"127.{64 + (pid >> 16) % 64}.{(pid >> 8) & 255}.{pid & 255}"
+    return [f"{host}:{next(_ports)}" for _ in range(count)]
 
 
 def load_configuration(user: str) -> Configuration:
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import aiohttp
 import msgspec
 
+from bench.fleet import free_addresses
 from radishmux.app import App
 from radishmux.config.document import ConfigWriter
 from radishmux.config.model import (
@@ -27,16 +27,6 @@
 _READY_S = 20.0
 
 
-def _free_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
-    for one in sockets:
-        one.close()
-    return addresses
-
-
 def _configuration(backend_address: str) -> Configuration:
     read = Route(name="read", path_prefix="/", idempotent=True)
     return Configuration(
@@ -65,7 +55,7 @@
 
 
 def _settings(store: str, instance_list: str) -> DaemonSettings:
-    caller, peer, control, admin = _free_addresses(4)
+    caller, peer, control, admin = free_addresses(4)
     return msgspec.convert(
         {
             "instance": "accra-a-1",
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -33,6 +33,8 @@
 BURST = 20.0
 OFFERED_PER_S = 60.0
 LOAD_S = 14.0
+# Long enough that requests are in flight at the moment of the kill.
+RUN_S = 0.3
 # A run may begin this long after its admission: the wait for a slot (1 s) and
 # the way through two instances.
 RUN_DELAY_S = 1.5
@@ -124,7 +126,7 @@
         fleet.start_daemons()
         fleet.wait_ready()
         for server in configuration.backend_servers:
-            _control(server.address, latency_s=0.02)
+            _control(server.address, latency_s=RUN_S)
         callers = Callers(plans, SEED)
 
         async def run() -> None:
