Prove own answers, drains, shutdown, crashes and bad input

Cause: I6, I9, I10, I12 and I13 and the list of bad input were not shown by tests, and a caller that sent its header byte by byte was never timed out, since the HTTP library restarts its timeout with each byte.

Change: differential tests of slots and crash marks; tests with real backend servers for the points above; a watch that ends connections whose header takes longer than 10 s.

--- a/src/radishmux/http/_sanic.py
+++ b/src/radishmux/http/_sanic.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from loguru import logger
@@ -17,6 +18,7 @@
     SanicException,
 )
 from sanic.handlers import ErrorHandler
+from sanic.http.constants import Stage
 from sanic.server import AsyncioServer
 
 from radishmux.http import headers as names
@@ -29,6 +31,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Time for the whole header of a request.
 HEADER_TIMEOUT_S = 10.0
+_HEADER_CHECKS = 10
 # Longer than callers keep lookup answers, so that a caller's connection
 # outlives its choice of instance.
 KEEP_ALIVE_S = 75.0
@@ -144,6 +147,30 @@
         )
 
 
+class HeaderWatch:
+    """Ends connections whose header takes too long.
+
+    The library's own timeout starts again with each byte, so that a caller
+    who sends one byte at a time would hold its connection for ever.
+    """
+
+    def __init__(self) -> None:
+        self._since: dict[Any, float] = {}
+
+    def check(self, connections: Iterable[Any], now: float) -> None:
+        """Looks at all connections; called several times per timeout."""
+        waiting: dict[Any, float] = {}
+        for connection in list(connections):
+            http = connection.http
+            if http is None or http.stage is not Stage.REQUEST:
+                continue
+            since = waiting[connection] = self._since.get(connection, now)
+            if now - since >= HEADER_TIMEOUT_S and connection._task:
+                http.exception = RequestTimeout("Request Timeout")
+                connection._task.cancel()
+        self._since = waiting
+
+
 class SanicServer:
     """Serves an application while it is entered."""
 
@@ -152,6 +179,8 @@
         self._listen_address = address
         self._server: AsyncioServer | None = None
         self._address = ""
+        self._headers = HeaderWatch()
+        self._task: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> str:
@@ -174,6 +203,7 @@
         await server.startup()
         await server.start_serving()
         self._server = server
+        self._task = asyncio.create_task(self._watch_headers())
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
         return self
@@ -181,10 +211,19 @@
     async def __aexit__(self, *exc: object) -> None:
         if self._server is None:
             return
+        if self._task is not None:
+            self._task.cancel()
         self.stop_listening()
         for connection in list(self._server.connections):
             connection.abort()
 
+    async def _watch_headers(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(HEADER_TIMEOUT_S / _HEADER_CHECKS)
+            assert self._server is not None
+            self._headers.check(self._server.connections, loop.time())
+
     def stop_listening(self) -> None:
         """Refuses new connections; open ones go on."""
         if self._server is not None and self._server.server is not None:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -284,16 +284,17 @@
         draw = self._random.random
         status = 500 if draw() < faults.error_rate else 200
         attempt = request.headers.get(ATTEMPT_HEADER, "")
-        request_id = run.request_id
+        request_id, path = run.request_id, run.path
         if faults.mismatch_rate and draw() < faults.mismatch_rate:
             attempt, request_id = f"not-{attempt}", f"not-{request_id}"
+            path = f"/not{path}"
         body = msgspec.json.encode(
             Answer(
                 server=self._name,
                 service=self._service,
                 version=self._version,
                 request_id=request_id,
-                path=run.path,
+                path=path,
                 method=run.method,
                 body_bytes=run.body_bytes,
                 body_sha256=run.body_sha256,
--- a/tests/request_parts.py
+++ b/tests/request_parts.py
@@ -49,14 +49,16 @@
     )
 
 
-def backend(name: str, address: str, slots: int = 4) -> BackendServer:
+def backend(
+    name: str, address: str, slots: int = 4, version: str = "v1"
+) -> BackendServer:
     return BackendServer(
         name=name,
         service="poles",
         region="r1",
         failure_domain="d1",
         address=address,
-        version="v1",
+        version=version,
         slots=slots,
     )
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -171,15 +171,16 @@
 
         await asyncio.gather(*(send() for _ in range(4)))  # 4 connections.
         await server.control(silence=True, latency_s=0.0)
-        firsts = await asyncio.gather(*(send() for _ in range(4)))
+        # The first request waits; the other idle connections are as silent.
+        first = await send()
         after = [await send() for _ in range(8)]
-        print(f"first {firsts}, after {after}")
+        print(f"first {first}, after {after}")
         # With so few requests the budget allows no retry, so that a request
         # on a silent connection gets an error, within the 2 s of I12.
-        assert all(elapsed_s < 2.0 for _, elapsed_s in firsts)
+        assert first[1] < 2.0
         assert all(status == 200 for status, _ in after)
         assert all(elapsed_s < 0.9 for _, elapsed_s in after)
         pool = node.runtime.pool(CELL)
         assert pool is not None and pool.backends[0].state == "ready"
         silent = (await server.control())["silent_requests"]
-        assert 1 <= silent <= 4
+        assert silent == 1
--- /dev/null
+++ b/tests/test_draining.py
@@ -0,0 +1,195 @@
+"""Guards I9, I10 and I13: drains, graceful shutdown and uploads."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import aiohttp
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishmux.dispatch.backend import Backend
+from radishmux.dispatch.pool import CellPool, Waiter
+from tests.request_node import headers
+from tests.request_parts import backend, eventually
+from tests.test_crashes import CELL, fleet
+
+LEAVE_S = 3.0
+
+pool_step = st.one_of(
+    st.tuples(st.just("request"), st.sampled_from(("v1", "v2")), st.booleans()),
+    st.tuples(st.just("release"), st.integers(0, 20), st.none()),
+    st.tuples(
+        st.just("probe"),
+        st.integers(0, 2),
+        st.sampled_from(("ready", "draining", "listed", "fail")),
+    ),
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(pool_step, max_size=80))
+def test_pool_agrees_with_a_naive_count(steps):
+    """Guards against work for a leaving server and against lost slots."""
+    records = [
+        backend("a", "127.0.0.1:1", 1),
+        backend("b", "127.0.0.1:2", 2),
+        backend("c", "127.0.0.1:3", 3, version="v2"),
+    ]
+    pool = CellPool("cell")
+    pool.set_servers(tuple(records))
+    backends = pool.backends
+    state = dict.fromkeys("abc", "unknown")
+    in_use = dict.fromkeys("abc", 0)
+    running: list[Backend] = []
+    waiting: list[Waiter] = []
+
+    def started(one: Backend) -> None:
+        name = one.server.name
+        in_use[name] += 1
+        assert state[name] == "ready"
+        assert in_use[name] <= one.server.slots
+        running.append(one)
+
+    def settle() -> None:
+        for waiter in list(waiting):
+            if waiter.granted is not None:
+                waiting.remove(waiter)
+                assert waiter.granted.server.version == waiter.version
+                started(waiter.granted)
+
+    for kind, what, detail in steps:
+        if kind == "request":
+            free = [
+                r.name
+                for r in records
+                if r.version == what
+                and state[r.name] == "ready"
+                and in_use[r.name] < r.slots
+            ]
+            got = pool.try_acquire(what)
+            assert (got is not None) == bool(free)
+            if got is not None:
+                started(got)
+            elif detail:
+                waiter = Waiter(what, lambda: None)
+                if pool.enqueue(waiter):
+                    waiting.append(waiter)
+        elif kind == "release" and running:
+            one = running.pop(what % len(running))
+            in_use[one.server.name] -= 1
+            pool.release(one)
+        elif kind == "probe":
+            one = backends[what]
+            name = one.server.name
+            if detail == "fail":
+                one.fail()
+                state[name] = "down" if state[name] != "gone" else "gone"
+            elif detail == "listed":
+                one.on_listed_leaving()
+                state[name] = "gone"
+            else:
+                one.on_probe(detail, one.in_use, one.in_use, False)
+                if state[name] != "gone":
+                    state[name] = detail
+            pool.serve_queue()
+        settle()
+        assert pool.in_use == sum(in_use.values())
+
+
+@pytest.mark.parametrize("says", ["endpoint", "list"])
+async def test_a_leaving_server_gets_no_new_work(says):
+    """Guards I9: 3 s after its endpoint or the list says so."""
+    async with fleet(1, 2) as ((node,), servers, session):
+        leaving = servers[0]
+        await leaving.control(latency_s=0.2)
+        if says == "endpoint":
+            await leaving.control(state="draining")
+        else:
+            node.parts.members.leaving.add("b0")
+        told_at = time.time()
+        statuses = []
+
+        async def send() -> None:
+            async with session.get(
+                f"{node.url}/poles/x", headers=headers()
+            ) as response:
+                await response.read()
+                statuses.append(response.status)
+
+        while time.time() < told_at + LEAVE_S + 1.0:
+            await asyncio.gather(*(send() for _ in range(4)))
+        late = [
+            run for run in await leaving.runs() if run["at"] > told_at + LEAVE_S
+        ]
+        assert not late
+        assert set(statuses) == {200}
+        assert all(run["completed"] for run in await leaving.runs())
+
+
+async def test_a_shutdown_interrupts_no_request():
+    """Guards I10: the cells move and running requests end."""
+    async with fleet(2, 2) as (nodes, servers, session):
+        for server in servers:
+            await server.control(latency_s=0.3)
+        holder = next(n for n in nodes if n.runtime.pool(CELL) is not None)
+        other = next(n for n in nodes if n is not holder)
+        statuses = []
+
+        async def traffic(count: int) -> None:
+            for _ in range(count):
+                async with session.get(
+                    f"{other.url}/poles/x",
+                    headers=headers(deadline_ms="5000"),
+                ) as response:
+                    await response.read()
+                    statuses.append(response.status)
+
+        callers = [asyncio.create_task(traffic(8)) for _ in range(4)]
+        await eventually(lambda: holder.runtime.in_use)
+        for node in nodes:
+            node.parts.members.leaving.add(holder.parts.name)
+        await eventually(lambda: other.runtime.pool(CELL))
+        assert holder.runtime.pool(CELL) is None
+        await asyncio.gather(*callers)
+        assert set(statuses) == {200}, statuses
+        await eventually(lambda: holder.peer_app.in_flight == 0)
+        runs = [run for s in servers for run in await s.runs()]
+        assert all(run["completed"] for run in runs)
+        for server in servers:
+            assert (await server.control())["max_in_flight"] <= 4
+
+
+async def test_an_upload_waits_for_a_slot_and_is_resumed_after_a_drain():
+    """Guards I13."""
+    async with fleet(1, 1) as ((node,), (server,), session):
+        await server.control(latency_s=0.7)
+        photo = b"damaged cart" * 50_000
+
+        async def upload(number: int) -> tuple[int, dict]:
+            request_id = f"{node.ticket()}/{number}"
+            for _ in range(5):
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with session.put(
+                        f"{node.url}/poles/upload/{number}",
+                        data=photo,
+                        headers=headers(id=request_id, deadline_ms="20000"),
+                    ) as response:
+                        body = await response.json()
+                        if response.status == 200:
+                            return 200, body
+                        assert body["verdict"] in ("not_run", "may_have_run")
+            return 0, {}
+
+        uploads = [asyncio.create_task(upload(n)) for n in range(12)]
+        await eventually(lambda: node.runtime.in_use == 4)
+        await server.control(state="draining")
+        pool = node.runtime.pool(CELL)
+        await eventually(lambda: pool.backends[0].state == "draining")
+        await server.control(state="ready", latency_s=0.05)
+        for status, body in await asyncio.gather(*uploads):
+            assert status == 200
+            assert body["body_bytes"] == len(photo)
