--- a/bench/load.py
+++ b/bench/load.py
@@ -37,6 +37,8 @@
         good: Answers with status 200.
         bad: Other answers, broken connections and lost requests.
         planned_per_s: Rate of an open run; 0 for a closed one.
+        cpu_us: Processor time of the server for each good answer. It depends
+            less on what else the machine does than times and rates.
     """
 
     per_s: float
@@ -46,6 +48,7 @@
     p99_ms: float
     max_ms: float
     planned_per_s: float = 0.0
+    cpu_us: float = 0.0
 
 
 class _Connection:
