Keep traffic between regions within the capacity of the links

Change: each instance spends byte budgets for requests to and responses from each other region, an equal part of the link per live instance; a region whose link has no room is left out of the order.

--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -25,6 +25,7 @@
 from radishmux.http.admin_app import AdminApp
 from radishmux.http.caller_app import CallerApp
 from radishmux.http.forwarder import PeerForwarder
+from radishmux.http.metered_forwarder import MeteredForwarder
 from radishmux.http.peer_app import PeerApp
 from radishmux.http.request_flow import RequestFlow
 from radishmux.instances.interface import Instance, instance_list_drivers
@@ -41,6 +42,7 @@
 from radishmux.share.manager import ShareManager
 from radishmux.shift.chooser import VersionChooser
 from radishmux.status import StatusReporter
+from radishmux.steer.links import LinkBudgets, LinkLimitedRegions
 from radishmux.steer.lookup import TTL_S, Lookup
 from radishmux.steer.region import RegionChooser
 from radishmux.steer.region_loads import RegionLoadSum
@@ -232,8 +234,17 @@
         )
         self._blocks = NoBlocks()
         self._cells = CellMap(self._config, self._view)
-        self._regions = RegionChooser(
-            own.region, self._config, RegionLoadSum(self._cells, self._view)
+        self._links = LinkBudgets(
+            own.region, self._config, self._view, clock.now()
+        )
+        self._regions = LinkLimitedRegions(
+            own.region,
+            RegionChooser(
+                own.region,
+                self._config,
+                RegionLoadSum(self._cells, self._view),
+            ),
+            self._links,
         )
         self._chooser = VersionChooser(self._config)
         gate = DispatchGate(clock, self._view)
@@ -293,7 +304,9 @@
             regions=self._regions,
             cells=self._cells,
             dispatcher=self._dispatcher,
-            forwarder=forwarder,
+            forwarder=MeteredForwarder(
+                forwarder, own.region, self._links, clock
+            ),
             members=self._view,
             metrics=metrics,
         )
--- /dev/null
+++ b/src/radishmux/http/metered_forwarder.py
@@ -0,0 +1,95 @@
+"""Counts the bytes that forwarded requests send over links."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+from radishmux.clock import Clock
+from radishmux.dispatch.exchange import Answer, AnswerStream, Exchange
+from radishmux.http.parts import Forwarder
+from radishmux.instances.interface import Instance
+from radishmux.steer.links import LinkBudgets
+from radishmux.verdict import Refusal
+
+# Start line and headers of a request or a response.
+_HEADER_BYTES = 600
+
+
+class MeteredForwarder:
+    """A Forwarder that spends the budgets of links to other regions."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        region: str,
+        links: LinkBudgets,
+        clock: Clock,
+    ) -> None:
+        self._forwarder = forwarder
+        self._region = region
+        self._links = links
+        self._clock = clock
+
+    async def to_owner(
+        self, exchange: Exchange, instance: Instance, incarnation: int
+    ) -> Answer | Refusal:
+        """Sends a request to the instance that its ticket names."""
+        self._on_request(exchange, instance.region)
+        result = await self._forwarder.to_owner(exchange, instance, incarnation)
+        return self._on_result(result, instance.region)
+
+    async def to_dispatcher(
+        self, exchange: Exchange, instance: Instance
+    ) -> Answer | Refusal:
+        """Sends a request to the dispatcher of its cell."""
+        self._on_request(exchange, instance.region)
+        result = await self._forwarder.to_dispatcher(exchange, instance)
+        return self._on_result(result, instance.region)
+
+    def _on_request(self, exchange: Exchange, region: str) -> None:
+        if region != self._region:
+            count = _HEADER_BYTES + (exchange.body.length or 0)
+            self._links.on_request(region, count, self._clock.now())
+
+    def _on_result(
+        self, result: Answer | Refusal, region: str
+    ) -> Answer | Refusal:
+        if region == self._region:
+            return result
+        count = _HEADER_BYTES
+        if isinstance(result, Answer):
+            if result.body is not None:
+                count += len(result.body)
+            elif result.stream is not None:
+                result.stream = _MeteredStream(
+                    result.stream, self._links, region, self._clock
+                )
+        self._links.on_response(region, count, self._clock.now())
+        return result
+
+
+class _MeteredStream:
+    """Spends a link's budget as the pieces of a response come."""
+
+    __slots__ = ("_clock", "_links", "_region", "_stream")
+
+    def __init__(
+        self,
+        stream: AnswerStream,
+        links: LinkBudgets,
+        region: str,
+        clock: Clock,
+    ) -> None:
+        self._stream = stream
+        self._links = links
+        self._region = region
+        self._clock = clock
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        async for piece in self._stream:
+            self._links.on_response(self._region, len(piece), self._clock.now())
+            yield piece
+
+    async def aclose(self) -> None:
+        """Frees the connection; may be called more than once."""
+        await self._stream.aclose()
