--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,7 +13,13 @@
 _FOLDER = pathlib.Path(__file__).parent
 _RESULTS = _FOLDER / "results"
 # Benchmarks that take `--json FILE`.
-_WITH_RESULTS = ("telemetry", "messages", "processes", "control")
+_WITH_RESULTS = (
+    "telemetry",
+    "messages",
+    "probing",
+    "processes",
+    "control",
+)
 
 
 def names() -> list[str]:
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -27,7 +27,7 @@
     b'"ticket":"montreal-a-1.1764800000000.1764800123456.0123456789abcdef"}'
 )
 BACKEND_BODY = b"r" * 512
-_HEALTH = b'{"state":"ready","version":"v1","in_flight":0,"slots":64}'
+HEALTH = b'{"state":"ready","version":"v1","in_flight":0,"slots":64}'
 _METHODS = ["GET", "POST", "PUT"]
 _JSON = "application/json"
 
@@ -49,7 +49,7 @@
 
     @app.get("/health")
     async def health(request: Request) -> HTTPResponse:
-        return HTTPResponse(_HEALTH, content_type=_JSON)
+        return HTTPResponse(HEALTH, content_type=_JSON)
 
     @app.route("/<path:path>", methods=_METHODS)
     async def answer(request: Request, path: str) -> HTTPResponse:
--- a/bench/control.py
+++ b/bench/control.py
@@ -17,6 +17,7 @@
 import urllib.request
 from typing import Any
 
+from msgspec.structs import replace
 from rich.console import Console
 from rich.table import Table
 
@@ -72,7 +73,13 @@
     """Returns means over the daemons of one fleet."""
     with Fleet(stop_s=2.0) as fleet:
         fleet.start_platform(plan_fleet(size))
-        fleet.radishctl("config", "put", "deploy/association.jsonc")
+        # Without backend servers, because probing them is no control traffic;
+        # bench/probing.py measures it.
+        configuration = replace(
+            load_configuration("association"), backend_servers=[]
+        )
+        path = fleet.write("bench.json", configuration)
+        fleet.radishctl("config", "put", str(path))
         fleet.start_daemons()
         fleet.wait_ready(timeout_s=90.0)
         time.sleep(_SETTLE_S)
