Stop a waiting request whose key is revoked; trace each attempt

Cause: the key was checked once, on arrival. An upload may wait for a slot up to its deadline, so a revoked key could still run a request minutes later. Traces ended at the dispatcher, so the hop to the backend server was missing. Change: requests carry the digest of their key and the configuration version that admitted them, between instances too; the dispatcher checks both right before each attempt, and leaves the decision to the newer configuration. Each attempt has a span, whose context the backend server gets.

--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -272,15 +272,18 @@
         self._notices.on_crash_report(self._runtime.on_crash_report)
         await stack.enter_async_context(self._runtime)
         self._heartbeats.set_loads_source(lambda: self._runtime.loads)
+        self._keys = KeyCheck(self._config, self._view, metrics)
         self._dispatcher = Dispatcher(
             clock=clock,
             runtime=self._runtime,
             gate=gate,
+            keys=self._keys,
             versions=Versions(self._chooser, self._config),
             observer=Observer(clock, self._chooser, metrics),
             marks=marks,
             watch=watch,
             metrics=metrics,
+            tracer=self._tracer,
         )
 
     async def _enter_requests(self, stack: contextlib.AsyncExitStack) -> None:
@@ -289,14 +292,13 @@
         forwarder = await stack.enter_async_context(
             PeerForwarder(clock, metrics)
         )
-        keys = KeyCheck(self._config, self._view, metrics)
         self._flow = RequestFlow(
             instance=own.instance,
             incarnation=self._incarnation,
             region=own.region,
             clock=clock,
             config=self._config,
-            keys=keys,
+            keys=self._keys,
             shares=self._shares,
             tickets=self._tickets,
             ledger=RequestLedger(self._tickets),
@@ -314,7 +316,7 @@
             self._flow,
             self._lookup,
             self._blocks,
-            keys,
+            self._keys,
             clock,
             metrics,
             self._tracer,
--- a/src/radishmux/dispatch/dispatcher.py
+++ b/src/radishmux/dispatch/dispatcher.py
@@ -13,13 +13,14 @@
 from radishmux.dispatch.crashes import CrashMarks, Judgement
 from radishmux.dispatch.exchange import Answer, Exchange, Headers, worst
 from radishmux.dispatch.observer import Observer
-from radishmux.dispatch.parts import Gate, VersionSource
+from radishmux.dispatch.parts import Gate, Keys, VersionSource
 from radishmux.dispatch.pool import CellPool, Waiter
 from radishmux.dispatch.retry_budget import RetryBudget
 from radishmux.dispatch.silence import SilenceWatch
 from radishmux.http.headers import answer_headers
 from radishmux.http.refusals import may_have_run, not_run, with_verdict
 from radishmux.telemetry.metrics import Metrics
+from radishmux.telemetry.traces import Tracer
 from radishmux.verdict import Refusal, Verdict
 
 MAX_ATTEMPTS = 3
@@ -39,21 +40,25 @@
         clock: Clock,
         runtime: CellRuntime,
         gate: Gate,
+        keys: Keys,
         versions: VersionSource,
         observer: Observer,
         marks: CrashMarks,
         watch: SilenceWatch,
         metrics: Metrics,
+        tracer: Tracer,
     ) -> None:
         self._clock = clock
         self._runtime = runtime
         self._gate = gate
+        self._keys = keys
         self._versions = versions
         self._observer = observer
         self._marks = marks
         self._sender = Sender(clock, watch)
         self._budgets: dict[str, RetryBudget] = {}
         self._metrics = metrics
+        self._tracer = tracer
 
     async def dispatch(self, exchange: Exchange) -> Answer | Refusal:
         """Sends a request to a backend server of `exchange.cell`.
@@ -79,6 +84,10 @@
             acquired = await self._acquire(pool, exchange, avoid, alone)
             if isinstance(acquired, Refusal):
                 return _final(exchange, refusal, acquired)
+            # A request may have waited longer than a revocation takes.
+            if not self._key_in_force(exchange):
+                pool.release(acquired)
+                return _final(exchange, refusal, _key_revoked())
             if not self._within_budget(exchange):
                 pool.release(acquired)
                 self._metrics.count(
@@ -94,6 +103,12 @@
             if not self._may_retry(exchange):
                 return with_verdict(refusal, exchange.verdict)
 
+    def _key_in_force(self, exchange: Exchange) -> bool:
+        credential = exchange.credential
+        return credential is None or self._keys.is_in_force(
+            credential.digest, exchange.customer, credential.config_version
+        )
+
     async def _gate_opens(self, exchange: Exchange) -> bool:
         """Waits briefly until this instance may dispatch."""
         if self._gate.is_open():
@@ -197,16 +212,7 @@
         received: Received | Failure | None = None
         crashed = False
         try:
-            received = await self._sender.send(
-                self._runtime.connections(backend),
-                self._gate_for(exchange, pool),
-                exchange.method,
-                exchange.target,
-                self._headers(exchange, started),
-                exchange.body,
-                exchange.deadline,
-                self._observer.silent_after_s(exchange),
-            )
+            received = await self._send(pool, backend, exchange, started)
             if isinstance(received, Failure) and (
                 received.refused or received.broken
             ):
@@ -238,6 +244,35 @@
             exchange.attempts,
         )
 
+    async def _send(
+        self,
+        pool: CellPool,
+        backend: Backend,
+        exchange: Exchange,
+        started: float,
+    ) -> Received | Failure:
+        with self._tracer.span(
+            "attempt",
+            exchange.traceparent,
+            backend_server=backend.server.name,
+            version=backend.server.version,
+        ) as span:
+            received = await self._sender.send(
+                self._runtime.connections(backend),
+                self._gate_for(exchange, pool),
+                exchange.method,
+                exchange.target,
+                self._headers(exchange, started, span.traceparent),
+                exchange.body,
+                exchange.deadline,
+                self._observer.silent_after_s(exchange),
+            )
+            if isinstance(received, Failure):
+                span.set("outcome", received.reason)
+            else:
+                span.set("status", received.status)
+        return received
+
     def _gate_for(
         self, exchange: Exchange, pool: CellPool
     ) -> Callable[[], bool]:
@@ -269,7 +304,9 @@
 
         return on_close
 
-    def _headers(self, exchange: Exchange, now: float) -> Headers:
+    def _headers(
+        self, exchange: Exchange, now: float, traceparent: str
+    ) -> Headers:
         remaining_ms = max(1, int((exchange.deadline - now) * 1000))
         headers = [
             *exchange.headers,
@@ -277,8 +314,7 @@
         ]
         if exchange.request_id:
             headers.append(("X-Radishmux-Request-Id", exchange.request_id))
-        if exchange.traceparent:
-            headers.append(("traceparent", exchange.traceparent))
+        headers.append(("traceparent", traceparent))
         return headers
 
     def _may_retry(self, exchange: Exchange) -> bool:
@@ -327,6 +363,12 @@
     )
 
 
+def _key_revoked() -> Refusal:
+    return not_run(
+        "key_revoked", "The key was revoked while the request waited.", 401
+    )
+
+
 def _no_permit() -> Refusal:
     return not_run(
         "no_permit", "This instance may not dispatch now.", retry_after_s=1.0
--- a/src/radishmux/dispatch/exchange.py
+++ b/src/radishmux/dispatch/exchange.py
@@ -75,6 +75,21 @@
 EMPTY_BODY = RequestBody()
 
 
+class Credential:
+    """The key that a request was admitted with.
+
+    Attributes:
+        digest: SHA-256 of the key, hexadecimal.
+        config_version: Version of the configuration that knew the key.
+    """
+
+    __slots__ = ("config_version", "digest")
+
+    def __init__(self, digest: str, config_version: int) -> None:
+        self.digest = digest
+        self.config_version = config_version
+
+
 class Exchange:
     """One request on its way to a backend server.
 
@@ -94,6 +109,7 @@
         attempts: Attempts at backend servers so far, on any instance.
         verdict: What is known from those attempts.
         traceparent: Trace context of the caller or of the previous hop.
+        credential: The key that the request was admitted with, or None.
     """
 
     __slots__ = (
@@ -101,6 +117,7 @@
         "attempts",
         "body",
         "cell",
+        "credential",
         "customer",
         "deadline",
         "headers",
@@ -144,6 +161,7 @@
         self.cell = ""
         self.attempts = 0
         self.verdict = Verdict.NOT_RUN
+        self.credential: Credential | None = None
         self._digest = ""
 
     @property
--- a/src/radishmux/dispatch/parts.py
+++ b/src/radishmux/dispatch/parts.py
@@ -39,6 +39,15 @@
         """Whether others may take over the cells of an instance."""
 
 
+class Keys(Protocol):
+    """keys.check.KeyCheck."""
+
+    def is_in_force(
+        self, digest: str, customer: str, config_version: int
+    ) -> bool:
+        """Whether a key that admitted a request is still valid."""
+
+
 class Chooser(Protocol):
     """shift.chooser.VersionChooser."""
 
--- a/src/radishmux/http/forwarder.py
+++ b/src/radishmux/http/forwarder.py
@@ -147,6 +147,11 @@
         (names.ATTEMPTS, str(exchange.attempts)),
         (names.VERDICT, exchange.verdict.value),
     ]
+    credential = exchange.credential
+    if credential is not None:
+        headers.append((names.KEY_DIGEST, credential.digest))
+        version = str(credential.config_version)
+        headers.append((names.CONFIG_VERSION, version))
     if exchange.request_id:
         headers.append((names.REQUEST_ID, exchange.request_id))
     if exchange.traceparent:
--- a/src/radishmux/http/headers.py
+++ b/src/radishmux/http/headers.py
@@ -30,6 +30,8 @@
 CELL = "x-radishmux-cell"
 INCARNATION = "x-radishmux-incarnation"
 REFUSED = "x-radishmux-refused"
+KEY_DIGEST = "x-radishmux-key-digest"
+CONFIG_VERSION = "x-radishmux-config-version"
 # Request headers that the caller sent under names that are ours are dropped.
 PREFIX = "x-radishmux-"
 
--- a/src/radishmux/http/peer_app.py
+++ b/src/radishmux/http/peer_app.py
@@ -12,6 +12,7 @@
 from radishmux.dispatch.exchange import (
     Answer,
     CallerBodyError,
+    Credential,
     Exchange,
     RequestBody,
 )
@@ -132,4 +133,8 @@
         exchange.verdict = Verdict(
             headers.get(names.VERDICT, Verdict.NOT_RUN.value)
         )
+        digest = headers.get(names.KEY_DIGEST)
+        if digest is not None:
+            version = int(headers.get(names.CONFIG_VERSION, "0"))
+            exchange.credential = Credential(digest, version)
         return exchange
--- a/src/radishmux/http/request_flow.py
+++ b/src/radishmux/http/request_flow.py
@@ -13,6 +13,7 @@
 from radishmux.dispatch.cells import Cell, CellMap
 from radishmux.dispatch.exchange import (
     Answer,
+    Credential,
     Exchange,
     worst,
 )
@@ -39,6 +40,7 @@
 )
 from radishmux.http.targets import RouteTable, split_target
 from radishmux.instances.interface import Instance
+from radishmux.keys.check import key_digest
 from radishmux.once.at_most_once import AtMostOnce
 from radishmux.once.ledger import RequestLedger, malformed_request_id
 from radishmux.once.tickets import TicketIssuer, split_request_id
@@ -82,6 +84,7 @@
         self._incarnation = incarnation
         self._region = region
         self._clock = clock
+        self._config = config
         self._keys = keys
         self._shares = shares
         self._tickets = tickets
@@ -149,7 +152,7 @@
             return customer
         if customer is not None:
             request.customer = customer.name
-        return Exchange(
+        exchange = Exchange(
             service.name,
             route,
             request.method,
@@ -162,6 +165,11 @@
             deadline,
             request.traceparent,
         )
+        if customer is not None and request.key is not None:
+            version = self._config.current.version
+            digest = key_digest(request.key)
+            exchange.credential = Credential(digest, version)
+        return exchange
 
     async def handle_owned(
         self, exchange: Exchange, incarnation: int
--- a/src/radishmux/keys/check.py
+++ b/src/radishmux/keys/check.py
@@ -119,6 +119,23 @@
         self._metrics.count("key_checks_total", outcome=outcome)
         return result
 
+    def is_in_force(
+        self, digest: str, customer: str, config_version: int
+    ) -> bool:
+        """Whether a key that admitted a request is still valid.
+
+        Args:
+            digest: SHA-256 of the key, hexadecimal.
+            customer: Name of the customer that it stood for.
+            config_version: Version in force where the request was admitted.
+                A key that a higher version granted is not known here yet.
+        """
+        index = self._state.index
+        if index.configuration.version < config_version:
+            return True
+        found = index.customer_of_digest(digest)
+        return found is not None and found.name == customer
+
     def _check_keyed(self, key: str | None, now: float) -> Customer | Refusal:
         if not key:
             return _unauthorized("no_key", "The request carries no key.")
--- a/tests/request_node.py
+++ b/tests/request_node.py
@@ -90,11 +90,13 @@
             clock=clock,
             runtime=self.runtime,
             gate=self.gate,
+            keys=parts.keys,
             versions=Versions(self.chooser, parts.config),
             observer=Observer(clock, self.chooser, metrics),
             marks=self.marks,
             watch=watch,
             metrics=metrics,
+            tracer=parts.tracer,
         )
         self.forwarder = PeerForwarder(clock, metrics)
         self.flow = RequestFlow(
--- a/tests/request_parts.py
+++ b/tests/request_parts.py
@@ -84,6 +84,10 @@
 
     def __init__(self) -> None:
         self.customer = Customer(name="alice", rate_per_s=1e6, burst=1e6)
+        self.revoked = False
+
+    def is_in_force(self, digest, customer, config_version):
+        return not self.revoked
 
     def check(self, key, route, now):
         if route.open_to_all:
--- a/tests/test_keys_model.py
+++ b/tests/test_keys_model.py
@@ -196,3 +196,21 @@
         fleet.check.check(key, _KEYED, fleet.now)
     assert hashed == ["k0", "k0", "k1", "k2"]
     assert len(fleet.check._cached) <= 2
+
+
+def test_a_key_of_a_waiting_request_is_judged_by_the_newer_configuration():
+    """An instance that lags behind must not refuse a key granted since."""
+    digest = key_digest("secret")
+    with_key = Configuration(
+        version=3,
+        customers=[
+            Customer(name="a", rate_per_s=1, burst=1, key_digests=[digest])
+        ],
+    )
+    state = ConfigState(with_key)
+    check = KeyCheck(state, FakeMembership(instance("a"), []), FakeMetrics())
+    assert check.is_in_force(digest, "a", 3)
+    assert not check.is_in_force(digest, "b", 3)
+    state.apply(Configuration(version=4))
+    assert not check.is_in_force(digest, "a", 4)
+    assert check.is_in_force(digest, "a", 5)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -114,3 +116,26 @@
                 assert refusal["reason"] == "ticket_owner_gone"
                 assert refusal["verdict"] == "may_have_run"
     assert not await server.runs()
+
+
+async def test_a_key_revoked_while_a_request_waits_stops_it(path):
+    """An upload may wait for a slot longer than a revocation takes."""
+    node, server, session = path
+    await server.control(latency_s=0.3)
+    slots = node.runtime.pool("poles/r1/0").slots
+
+    async def upload(number: int) -> int:
+        async with session.put(
+            f"/poles/upload/{number}", data=b"x", headers=headers()
+        ) as response:
+            await response.read()
+            return response.status
+
+    running_now = [asyncio.create_task(upload(n)) for n in range(slots)]
+    await eventually(lambda: node.runtime.in_use == slots)
+    waiting = asyncio.create_task(upload(slots))
+    await eventually(lambda: node.runtime.pool("poles/r1/0").queued == 1)
+    node.parts.keys.revoked = True
+    assert await waiting == 401
+    assert await asyncio.gather(*running_now) == [200] * slots
+    assert len(await server.runs()) == slots
