Admit during a store outage only while every known peer is heard

Change: KeyCheck also requires that every known peer acknowledged a heartbeat of the last second or is known to be gone, and that at least one is heard.

--- a/src/radishmux/keys/check.py
+++ b/src/radishmux/keys/check.py
@@ -47,6 +47,15 @@
     def store_out_for_all(self, now: float) -> bool:
         """Whether no instance can reach the store."""
 
+    def hears(self, instance: str, now: float) -> bool:
+        """Whether a peer acknowledged a heartbeat of the last second."""
+
+    def incarnation_of(self, instance: str) -> int:
+        """Returns the highest known incarnation of a peer, or 0."""
+
+    def incarnation_dead(self, instance: str, incarnation: int) -> bool:
+        """Whether one process of an instance is gone for certain."""
+
     def config_versions(self) -> Mapping[str, int]:
         """Returns the configuration version of each live peer."""
 
@@ -143,13 +152,35 @@
         """
         if now - self._outage_checked_at >= _OUTAGE_CHECK_S:
             self._outage_checked_at = now
-            self._outage = self._freshness.store_out_for_all(now)
+            self._outage = self._freshness.store_out_for_all(
+                now
+            ) and self._hears_everyone(now)
         if not self._outage:
             return False
         known = self._freshness.config_versions().values()
         own = self._state.index.configuration.version
         return own >= max(known, default=0)
 
+    def _hears_everyone(self, now: float) -> bool:
+        """Whether every known peer is heard or its process is gone.
+
+        The predicate looks at the roster as this instance last read it,
+        which may be from before the others joined. An instance that hears
+        nobody cannot tell an outage from its own partition.
+        """
+        heard = 0
+        for one in self._freshness.peers():
+            name = one.instance
+            if self._freshness.hears(name, now):
+                heard += 1
+                continue
+            incarnation = self._freshness.incarnation_of(name)
+            if incarnation == 0 or not self._freshness.incarnation_dead(
+                name, incarnation
+            ):
+                return False
+        return heard > 0
+
     def _find(self, key: str) -> Customer | None:
         index = self._state.index
         if index is not self._cached_index:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -127,6 +127,17 @@
         self.response_at = -math.inf
         self.version = 0
         self.out_for_all = False
+        self.silent: set[str] = set()
+        self.dead: set[str] = set()
+
+    def hears(self, name: str, now: float) -> bool:
+        return name not in self.silent | self.dead
+
+    def incarnation_of(self, name: str) -> int:
+        return 1
+
+    def incarnation_dead(self, name: str, incarnation: int) -> bool:
+        return name in self.dead
 
     def live(self, region: str | None = None) -> tuple[Instance, ...]:
         everyone = (self.own, *self.others)
--- a/tests/test_keys_model.py
+++ b/tests/test_keys_model.py
@@ -64,8 +64,9 @@
         )
         self.accepted.append((self.now, self.truth))
         # A write ends an outage for all, as members notice within the time
-        # for which the check keeps the predicate.
-        self.member.out_for_all = False
+        # for which the check keeps the predicate. An isolated instance that
+        # last read the roster before the others joined does not notice.
+        self.member.out_for_all = bool(self.member.silent)
         self.now += 0.125
 
     def read(self) -> None:
@@ -94,6 +95,7 @@
     st.tuples(st.just("offer")),
     st.tuples(st.just("wait"), st.floats(0.0, 3.0)),
     st.tuples(st.just("store_out"), st.booleans()),
+    st.tuples(st.just("isolate"), st.booleans()),
     st.tuples(st.just("request"), st.integers(0, len(_KEYS) - 1)),
     st.tuples(st.just("request"), st.integers(0, len(_KEYS) - 1)),
 )
@@ -110,19 +112,26 @@
         if name == "change":
             fleet.change(step[1], step[2])
         elif name == "read":
-            if not fleet.member.out_for_all:
+            if not fleet.member.out_for_all and not fleet.member.silent:
                 fleet.read()
         elif name == "offer":
             # A peer's version without contact of its own.
-            fleet.state.apply(fleet.truth)
+            if not fleet.member.silent:
+                fleet.state.apply(fleet.truth)
         elif name == "wait":
             fleet.now += step[1]
         elif name == "store_out":
             # Nobody reaches the store, but one peer has the latest version.
+            fleet.member.silent = set()
             fleet.member.out_for_all = step[1]
             if step[1]:
                 fleet.member.versions = {"b": fleet.truth.version}
             fleet.now += 0.125
+        elif name == "isolate":
+            fleet.member.silent = {"b"}
+            fleet.member.dead = {"c"} if step[1] else set()
+            fleet.member.out_for_all = True
+            fleet.now += 0.125
         else:
             _check_request(fleet, _KEYS[step[1]])
 
@@ -135,7 +144,9 @@
     knows_all = fleet.state.current.version >= max(
         member.versions.values(), default=0
     )
-    admits = now - member.contact_at < 4.0 or (member.out_for_all and knows_all)
+    admits = now - member.contact_at < 4.0 or (
+        member.out_for_all and not member.silent and knows_all
+    )
     if isinstance(result, Refusal):
         assert result.verdict is Verdict.NOT_RUN
         assert result.reason == ("unknown_key" if admits else "not_fresh")
@@ -148,6 +159,20 @@
     assert result.name in owners
 
 
+def test_instance_that_is_left_alone_does_not_believe_in_an_outage():
+    """Its own partition looks the same to it."""
+    fleet = _Fleet()
+    fleet.change(0, {0})
+    fleet.read()
+    fleet.now += 10.0
+    fleet.member.out_for_all = True
+    fleet.member.dead = {"b"}
+    assert fleet.check.check("k0", _KEYED, fleet.now).name == "c0"
+    fleet.member.dead = {"b", "c"}
+    refused = fleet.check.check("k0", _KEYED, fleet.now + 1.0)
+    assert isinstance(refused, Refusal) and refused.reason == "not_fresh"
+
+
 def test_refusal_for_lack_of_knowledge_names_instances_to_use():
     fleet = _Fleet()
     fleet.member.others = (
