--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -121,7 +121,12 @@
     """State of the stand-in and its HTTP handlers."""
 
     def __init__(
-        self, name: str, service: str, version: str, slots: int
+        self,
+        name: str,
+        service: str,
+        version: str,
+        slots: int,
+        record_file: str = "",
     ) -> None:
         self._name = name
         self._service = service
@@ -142,6 +147,11 @@
             connections=0,
         )
         self._silent: set[object] = set()
+        # Unbuffered, so that the record outlives a killed process.
+        self._record_file = -1
+        if record_file:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._record_file = os.open(record_file, flags)
         self._server: web.Server | None = None
 
     async def serve(self, address: str) -> str:
@@ -234,6 +244,8 @@
             deadline_ms=request.headers.get("X-Radishmux-Deadline-Ms", ""),
         )
         self._record.runs.append(run)
+        if self._record_file >= 0:
+            os.write(self._record_file, f"{run.request_id} {run.at}\n".encode())
         digest = hashlib.sha256()
         crash = faults.crash_marker.encode()
         found = bool(crash) and faults.crash_marker in request.path_qs
@@ -272,16 +284,17 @@
         draw = self._random.random
         status = 500 if draw() < faults.error_rate else 200
         attempt = request.headers.get(ATTEMPT_HEADER, "")
-        request_id = run.request_id
+        request_id, path = run.request_id, run.path
         if faults.mismatch_rate and draw() < faults.mismatch_rate:
             attempt, request_id = f"not-{attempt}", f"not-{request_id}"
+            path = f"/not{path}"
         body = msgspec.json.encode(
             Answer(
                 server=self._name,
                 service=self._service,
                 version=self._version,
                 request_id=request_id,
-                path=run.path,
+                path=path,
                 method=run.method,
                 body_bytes=run.body_bytes,
                 body_sha256=run.body_sha256,
@@ -354,7 +367,11 @@
 
 async def _main(arguments: argparse.Namespace) -> None:
     server = BackendServer(
-        arguments.name, arguments.service, arguments.version, arguments.slots
+        arguments.name,
+        arguments.service,
+        arguments.version,
+        arguments.slots,
+        arguments.record_file,
     )
     address = await server.serve(arguments.listen)
     print(f"listening {address}", flush=True)
@@ -369,6 +386,11 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--version", required=True)
     parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument(
+        "--record-file",
+        default="",
+        help="gets one line per run: its id and Unix time",
+    )
     with contextlib.suppress(KeyboardInterrupt):
         uvloop.run(_main(parser.parse_args()))
 
--- a/tests/request_parts.py
+++ b/tests/request_parts.py
@@ -49,14 +49,16 @@
     )
 
 
-def backend(name: str, address: str, slots: int = 4) -> BackendServer:
+def backend(
+    name: str, address: str, slots: int = 4, version: str = "v1"
+) -> BackendServer:
     return BackendServer(
         name=name,
         service="poles",
         region="r1",
         failure_domain="d1",
         address=address,
-        version="v1",
+        version=version,
         slots=slots,
     )
 
@@ -223,6 +225,7 @@
     slots: int = 4,
     listen: str = "127.0.0.1:0",
     version: str = "v1",
+    record_file: str = "",
 ):
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -238,6 +241,8 @@
         version,
         "--slots",
         str(slots),
+        "--record-file",
+        record_file,
         stdout=asyncio.subprocess.PIPE,
     )
     try:
