Test a store that lost its data, and look at the watching role once a second

Cause: nothing tested a store that starts empty and is written with lower numbers again; the choice of the watching instance went over all live instances several times in 0.25 s; an error in a background read was silent. Change: one more fleet test; the role is computed once a second; errors of background calls are logged. Before: untested.

--- a/src/radishmux/config/distribution.py
+++ b/src/radishmux/config/distribution.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import heapq
+import math
 from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol
 
@@ -27,6 +28,9 @@
 from radishmux.store.interface import Entry, Store
 
 TICK_S = 0.25
+# How often an instance looks whether it is the one that watches: this goes
+# over all live instances, and others read the store themselves meanwhile.
+ROLE_PERIOD_S = 1.0
 PEER_TIMEOUT_S = 1.0
 # Longer than the timeout of a writer's calls (2 s). Otherwise a store with a
 # latency in between would accept a revocation and look as if it were out to
@@ -101,6 +105,8 @@
         self._loops: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
         self._pending_reads = 0
+        self._watches = False
+        self._role_at = -math.inf
         self._watch_task: asyncio.Task[None] | None = None
         bus.handle(messages.ConfigOffer)(self.on_config_offer)
         bus.handle(messages.ConfigRequest)(self.on_config_request)
@@ -126,6 +132,13 @@
     @property
     def watches(self) -> bool:
         """Whether this instance watches the store for its region."""
+        now = self._clock.now()
+        if now - self._role_at >= ROLE_PERIOD_S:
+            self._role_at = now
+            self._watches = self._has_highest_score()
+        return self._watches
+
+    def _has_highest_score(self) -> bool:
         names = [
             one.instance
             for one in self._membership.live(self._own.region)
@@ -151,7 +164,14 @@
     def _start_call(self, call: Any) -> None:
         task = asyncio.create_task(call)
         self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        task.add_done_callback(self._on_call_done)
+
+    def _on_call_done(self, task: asyncio.Task[None]) -> None:
+        self._calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error(
+                "configuration distribution failed"
+            )
 
     async def _read_if_due(self) -> None:
         now = self._clock.now()
--- a/tests/test_config_fleet.py
+++ b/tests/test_config_fleet.py
@@ -19,6 +19,7 @@
 from radishmux.store.etcd import EtcdStore
 from tests.config_nodes import PUBLIC, Fleet, Node, fleet
 from tests.fakes import FakeMetrics, instance, until
+from tests.standin_processes import standin
 
 # I11 and I3: in force everywhere, and revoked everywhere, within 5 s.
 _BOUND_S = 5.0
@@ -168,6 +169,37 @@
         )
 
 
+async def test_store_that_lost_its_data_takes_no_version_back():
+    """The store starts empty and is written with the old numbers again."""
+    async with _operated() as (running, writer):
+        version = await _set_keys(writer, "k2")
+        await _all_have(running, version)
+        running.server.process.kill()
+        await running.server.process.wait()
+        async with standin("store", running.server.addresses):
+            assert await _set_keys(writer, "k1") == version - 1
+            assert await _set_keys(writer, "k1") == version
+            rejected = ("config_rejected_total", (("reason", "not_higher"),))
+            await until(
+                lambda: all(
+                    node.metrics.counts[rejected] > 3 for node in running.nodes
+                )
+            )
+            # No read confirms the version in force any more.
+            await until(
+                lambda: all(
+                    n.answer("k2") == "not_fresh" for n in running.nodes
+                )
+            )
+            assert all(node.version == version for node in running.nodes)
+            assert await _set_keys(writer, "k1") == version + 1
+            await _all_have(running, version + 1)
+            await until(
+                lambda: all(n.answer("k1") == "clinic" for n in running.nodes),
+                _BOUND_S,
+            )
+
+
 async def test_store_calls_stay_a_tenth_of_the_capacity():
     """Counts calls over several read periods of an idle fleet."""
     async with _operated() as (running, writer):
