--- a/src/radishmux/share/book.py
+++ b/src/radishmux/share/book.py
@@ -6,10 +6,10 @@
 
 from radishmux.config.model import Customer
 from radishmux.membership.roster_document import TOTAL_WEIGHT
-from radishmux.share.customer_share import (
+from radishmux.share.customer_share import CustomerShare
+from radishmux.share.loan_terms import (
     DECLINED,
     Ask,
-    CustomerShare,
     GiveBack,
     Grant,
     LoanIds,
--- a/src/radishmux/share/customer_share.py
+++ b/src/radishmux/share/customer_share.py
@@ -4,13 +4,20 @@
 
 import math
 
-import msgspec
-
 from radishmux.share.bucket import FractionBucket
 from radishmux.share.demand import DemandMeter
+from radishmux.share.loan_terms import (
+    DECLINED,
+    Ask,
+    GiveBack,
+    Grant,
+    LoanIds,
+)
 from radishmux.share.loans import (
+    CLOCK_MARGIN_S,
     LOAN_S,
     URGENT_LOAN_S,
+    Borrowed,
     BorrowerBook,
     LenderBook,
 )
@@ -23,6 +30,9 @@
 EXTEND_BEFORE_S = 1.0
 # Smaller loans are not worth their message.
 MIN_FRACTION = 1e-4
+# Smallest fraction asked of a peer in the background; it bounds the number of
+# loans that have to be prolonged.
+MIN_PART = 0.01
 # Time without requests to peers after they had nothing to lend.
 DRY_S = 0.2
 BACKGROUND_DRY_S = 1.0
@@ -31,53 +41,6 @@
 PATIENCE_S = 0.15
 
 
-class LoanIds:
-    """Source of loan ids that are unique over all instances and lives."""
-
-    __slots__ = ("_count", "_prefix")
-
-    def __init__(self, instance: str, incarnation: int) -> None:
-        self._prefix = f"{instance}/{incarnation}/"
-        self._count = 0
-
-    def next(self) -> str:
-        """Returns a new id."""
-        self._count += 1
-        return f"{self._prefix}{self._count}"
-
-
-class Ask(msgspec.Struct, frozen=True):
-    """A LoanRequest to send.
-
-    Attributes:
-        duration_s: How long the loan lasts, counted from now.
-    """
-
-    lender: str
-    customer: str
-    loan_id: str
-    fraction: float
-    duration_s: float
-
-
-class GiveBack(msgspec.Struct, frozen=True):
-    """A LoanReturn to send."""
-
-    lender: str
-    loan_id: str
-    tokens: float
-
-
-class Grant(msgspec.Struct, frozen=True):
-    """Answer to a LoanRequest; a fraction of 0 declines it."""
-
-    fraction: float
-    tokens: float
-
-
-DECLINED = Grant(0.0, 0.0)
-
-
 class CustomerShare:
     """Pure state; all methods take `now`, monotonic seconds.
 
@@ -189,14 +152,19 @@
         self.settle(now)
         own = self._base - self._lent.total
         spare = own - self.need(now)
-        if self._lent.get(borrower, loan_id) is not None:
-            if spare < 0.0:
+        held = self._lent.get(borrower, loan_id)
+        if held is not None:
+            reduced = min(fraction, held.fraction + min(0.0, spare))
+            if reduced < MIN_FRACTION:
                 return DECLINED
-            held = self._lent.extend(borrower, loan_id, duration_s, now)
+            reduced = self._lent.extend(
+                borrower, loan_id, reduced, duration_s, now
+            )
             self._note_ends()
-            return Grant(held, 0.0)
+            return Grant(reduced, 0.0)
         urgent = duration_s < LOAN_S
-        granted = min(fraction, own if urgent else spare)
+        lendable = self._lendable(duration_s, now) if urgent else spare
+        granted = min(fraction, lendable)
         if granted < MIN_FRACTION:
             return DECLINED
         tokens = self._tokens_for(granted, urgent)
@@ -219,6 +187,20 @@
         self._bucket.put(tokens, now)
         return True
 
+    def _lendable(self, duration_s: float, now: float) -> float:
+        # Borrowed fractions may be lent on if they outlast the new loan, so
+        # that the base and they always cover everything that is lent.
+        end = now + duration_s + 2 * CLOCK_MARGIN_S
+        return self._base + self._borrowed.lasting(end) - self._lent.total
+
+    def _may_return(self, loan: Borrowed) -> bool:
+        if self._lent.total <= self._base:
+            return True
+        others = self._borrowed.lasting(self._lent.last_end)
+        if loan.until >= self._lent.last_end:
+            others -= loan.fraction
+        return self._base + others >= self._lent.total
+
     def _tokens_for(self, fraction: float, urgent: bool) -> float:
         tokens = self._bucket.tokens
         part = tokens * min(1.0, fraction / max(self._bucket.fraction, 1e-9))
@@ -252,7 +234,7 @@
         if outstanding > 2 * len(peers):
             return asks, returns
         self._background_dry_until = now + BACKGROUND_DRY_S
-        part = min(deficit, 2 * deficit / len(peers))
+        part = min(deficit, max(2 * deficit / len(peers), MIN_PART))
         asks += [
             self._ask(peer, loan_ids.next(), part, LOAN_S, now)
             for peer in peers
@@ -266,11 +248,12 @@
         loan_ids: LoanIds,
         now: float,
     ) -> list[Ask]:
-        """Returns requests for a caller that waits for a token.
+        """Returns requests for callers that wait for a token.
 
-        The first round goes to the peer that last had tokens and one other;
-        the second to all, so that one token does not collect the shares of
-        the whole fleet.
+        The first round goes to the peers that borrowed most from here, since
+        the customer's tokens are where its demand is, and to the one that
+        last had tokens; the second to all, so that one token does not collect
+        the shares of the whole fleet.
         """
         self.settle(now)
         if not peers or now < self._dry_until or self.is_asking(now):
@@ -278,8 +261,11 @@
         missing = max(1.0, waiting - self._bucket.tokens)
         # Slightly more than the missing tokens, against rounding.
         fraction = min(1.0, 1.05 * missing / self._bucket.burst)
-        preferred = self._last_lender if self._last_lender in peers else ""
-        order = sorted(peers, key=lambda peer: peer != preferred)
+        held = self._lent.by_borrower()
+        order = sorted(
+            peers,
+            key=lambda peer: (-held.get(peer, 0.0), peer != self._last_lender),
+        )
         chosen = order[:2] if self._dry_rounds == 0 else order
         self._round_gain = 0.0
         return [
@@ -310,11 +296,15 @@
             self._end_round(now)
 
     def return_all(self, now: float) -> list[GiveBack]:
-        """Returns all loans to their lenders, for a shutdown."""
+        """Returns loans to their lenders, for a shutdown.
+
+        Those that were lent on end by themselves.
+        """
         self.settle(now)
         return [
             self._give_back(loan_id, now)
-            for loan_id in list(self._borrowed.loans)
+            for loan_id, loan in list(self._borrowed.loans.items())
+            if self._may_return(loan)
         ]
 
     def _note_gain(self, lender: str, grant: Grant, urgent: bool) -> None:
@@ -339,10 +329,15 @@
     def _return_unneeded(self, need: float, now: float) -> list[GiveBack]:
         returns = []
         for loan_id, loan in list(self._borrowed.loans.items()):
-            if loan.urgent or loan_id in self._borrowed.asked:
+            if loan_id in self._borrowed.asked or not self._may_return(loan):
                 continue
             held = self._base - self._lent.total + self._background_total()
-            if held - loan.fraction >= 1.1 * need:
+            if loan.urgent:
+                age_s = now + URGENT_LOAN_S - loan.until
+                unneeded = age_s > PATIENCE_S and not self.is_asking(now)
+            else:
+                unneeded = held - loan.fraction >= 1.1 * need
+            if unneeded:
                 returns.append(self._give_back(loan_id, now))
         return returns
 
--- a/src/radishmux/share/loans.py
+++ b/src/radishmux/share/loans.py
@@ -22,10 +22,19 @@
 
 
 class Lent(msgspec.Struct):
-    """A loan in the lender's book."""
+    """A loan in the lender's book.
+
+    Attributes:
+        then_fraction: What the loan continues with after `until`, when it was
+            prolonged with a smaller fraction. The lender counts the larger
+            one until the borrower has certainly reduced its own.
+        then_until: End of the continued loan.
+    """
 
     fraction: float
     until: float
+    then_fraction: float = 0.0
+    then_until: float = -math.inf
 
 
 class Borrowed(msgspec.Struct):
@@ -64,6 +73,19 @@
         """When the next loan ends; inf if there is none."""
         return min((x.until for x in self._loans.values()), default=math.inf)
 
+    @property
+    def last_end(self) -> float:
+        """When the last loan ends; -inf if there is none."""
+        ends = (max(x.until, x.then_until) for x in self._loans.values())
+        return max(ends, default=-math.inf)
+
+    def by_borrower(self) -> dict[str, float]:
+        """Returns the fraction that each borrower holds."""
+        held: dict[str, float] = {}
+        for (borrower, _), loan in self._loans.items():
+            held[borrower] = held.get(borrower, 0.0) + loan.fraction
+        return held
+
     def get(self, borrower: str, loan_id: str) -> Lent | None:
         """Returns a loan that has not ended."""
         return self._loans.get((borrower, loan_id))
@@ -82,12 +104,28 @@
         self._sum()
 
     def extend(
-        self, borrower: str, loan_id: str, duration_s: float, now: float
+        self,
+        borrower: str,
+        loan_id: str,
+        fraction: float,
+        duration_s: float,
+        now: float,
     ) -> float:
-        """Prolongs a loan and returns its fraction."""
+        """Prolongs a loan, with at most `fraction`, and returns its fraction.
+
+        The fraction never grows again, since the borrower takes the smallest
+        of all answers.
+        """
         loan = self._loans[borrower, loan_id]
-        loan.until = max(loan.until, now + duration_s + CLOCK_MARGIN_S)
-        return loan.fraction
+        until = now + duration_s + CLOCK_MARGIN_S
+        if loan.then_fraction > 0.0:
+            fraction = min(fraction, loan.then_fraction)
+        if fraction >= loan.fraction:
+            loan.until = max(loan.until, until)
+            return loan.fraction
+        loan.then_fraction = fraction
+        loan.then_until = max(loan.then_until, until)
+        return fraction
 
     def end(self, borrower: str, loan_id: str) -> Lent | None:
         """Removes a loan that the borrower returned."""
@@ -97,7 +135,13 @@
 
     def end_due(self, now: float) -> None:
         """Removes the loans that have ended."""
-        self._loans = {k: x for k, x in self._loans.items() if x.until > now}
+        kept = {}
+        for key, loan in self._loans.items():
+            if loan.until > now:
+                kept[key] = loan
+            elif loan.then_until > now:
+                kept[key] = Lent(loan.then_fraction, loan.then_until)
+        self._loans = kept
         self._sum()
 
     def _sum(self) -> None:
@@ -134,6 +178,11 @@
         """The outstanding requests by loan id."""
         return self._asked
 
+    def lasting(self, until: float) -> float:
+        """Returns the sum of the fractions held at least until a time."""
+        loans = self._loans.values()
+        return math.fsum(x.fraction for x in loans if x.until >= until)
+
     def ask(
         self, loan_id: str, lender: str, duration_s: float, now: float
     ) -> None:
--- a/src/radishmux/share/manager.py
+++ b/src/radishmux/share/manager.py
@@ -13,14 +13,8 @@
 from radishmux.peer import messages
 from radishmux.peer.bus import PeerBus, Sender
 from radishmux.share.book import ShareBook
-from radishmux.share.customer_share import (
-    DECLINED,
-    PATIENCE_S,
-    Ask,
-    CustomerShare,
-    GiveBack,
-    Grant,
-)
+from radishmux.share.customer_share import PATIENCE_S, CustomerShare
+from radishmux.share.loan_terms import DECLINED, Ask, GiveBack, Grant
 from radishmux.verdict import Refusal, Verdict
 
 PLAN_PERIOD_S = 0.25
@@ -168,7 +162,7 @@
 
     def _may_wait(self, share: CustomerShare, wait_until: float) -> bool:
         now = self._clock.now()
-        if now >= wait_until or not self._may_use(now):
+        if wait_until - now <= TIMER_MARGIN_S or not self._may_use(now):
             return False
         if len(self._waiters.get(share.name, ())) >= MAX_WAITING:
             return False
