--- a/src/radishmux/shift/chooser.py
+++ b/src/radishmux/shift/chooser.py
@@ -9,7 +9,13 @@
 
 from radishmux.config.model import Configuration, Shift, ShiftIntent
 from radishmux.shift.counter import ShareCounter, to_ppm
-from radishmux.shift.document import MOVING, ShiftDocument, ShiftRecord
+from radishmux.shift.detector import Evidence
+from radishmux.shift.document import (
+    MOVING,
+    ShiftDocument,
+    ShiftRecord,
+    ShiftState,
+)
 from radishmux.shift.observation import Fault, Observation
 from radishmux.steer.selector import ConfigSource
 
@@ -22,6 +28,16 @@
     ) -> Fault | None:
         """Takes the outcome of one attempt and returns a fault, once."""
 
+    def take_evidence(self) -> tuple[Evidence, ...]:
+        """Returns evidence that the peers should have, and forgets it."""
+
+    def merge(self, evidence: Evidence) -> Fault | None:
+        """Takes a peer's evidence and returns a fault, once."""
+
+    @property
+    def requests(self) -> int:
+        """Requests of the new version known here."""
+
 
 class Stop(msgspec.Struct, frozen=True, kw_only=True):
     """A version that gets no new request.
@@ -37,6 +53,19 @@
     step: int
 
 
+class EvidenceBundle(msgspec.Struct, frozen=True, kw_only=True):
+    """Evidence on one version that instances pool.
+
+    Attributes:
+        step: Sequence of the shift step in force where it was found.
+    """
+
+    service: str
+    version: str
+    step: int
+    evidence: tuple[Evidence, ...]
+
+
 class _Moving:
     """A shift in force on this instance.
 
@@ -76,7 +105,7 @@
     def __init__(
         self,
         config: ConfigSource,
-        new_detector: Callable[[], FaultDetector] | None = None,
+        new_detector: Callable[[str, str, int], FaultDetector] | None = None,
     ) -> None:
         self._new_detector = new_detector
         self._document = ShiftDocument()
@@ -118,6 +147,47 @@
         if not is_new and observation.version != moving.record.from_version:
             return None
         fault = moving.detector.observe(observation, is_new, now)
+        return self._stop_for(fault, moving)
+
+    def take_evidence(self) -> tuple[EvidenceBundle, ...]:
+        """Returns the evidence that all peers should have now."""
+        bundles = []
+        for moving in self._moving.values():
+            if moving.detector is None or not moving.share_ppm:
+                continue
+            evidence = moving.detector.take_evidence()
+            if evidence:
+                bundle = EvidenceBundle(
+                    service=moving.record.service,
+                    version=moving.record.to_version,
+                    step=moving.record.step,
+                    evidence=evidence,
+                )
+                bundles.append(bundle)
+        return tuple(bundles)
+
+    def on_evidence(self, bundle: EvidenceBundle) -> Fault | None:
+        """Takes a peer's evidence; stops the version on a fault."""
+        moving = self._moving.get(bundle.service)
+        if moving is None or moving.detector is None:
+            return None
+        record = moving.record
+        if bundle.version != record.to_version or bundle.step < record.started:
+            return None
+        for evidence in bundle.evidence:
+            fault = moving.detector.merge(evidence)
+            if fault is not None:
+                return self._stop_for(fault, moving)
+        return None
+
+    def judged(self, service: str) -> int:
+        """Returns the known requests of the service's new version."""
+        moving = self._moving.get(service)
+        if moving is None or moving.detector is None:
+            return 0
+        return moving.detector.requests
+
+    def _stop_for(self, fault: Fault | None, moving: _Moving) -> Fault | None:
         if fault is None or not moving.share_ppm:
             return None
         stop = Stop(
@@ -163,13 +233,21 @@
             service.name: service.stable_version
             for service in configuration.services
         }
+        self._routes = {
+            service.name: len(service.routes)
+            for service in configuration.services
+        }
+        self._served = {
+            (server.service, server.version)
+            for server in configuration.backend_servers
+        }
         self._shifts = {shift.name: shift for shift in configuration.shifts}
         self._apply()
 
     def _apply(self) -> None:
         before = self._moving
         self._moving = {}
-        for record in self._document.shifts:
+        for record in sorted(self._document.shifts, key=_precedence):
             shift = self._shifts.get(record.name)
             if shift is None or record.state not in MOVING:
                 continue
@@ -181,18 +259,24 @@
         self, kept: _Moving | None, record: ShiftRecord, share_ppm: int
     ) -> _Moving:
         if kept is None or kept.record.started != record.started:
-            detector = self._new_detector() if self._new_detector else None
-            return _Moving(record, share_ppm, detector)
+            return _Moving(record, share_ppm, self._detector(record))
         if kept.share_ppm == share_ppm:
             kept.record = record
             return kept
         return _Moving(record, share_ppm, kept.detector)
 
+    def _detector(self, record: ShiftRecord) -> FaultDetector | None:
+        if self._new_detector is None:
+            return None
+        routes = self._routes.get(record.service, 1)
+        return self._new_detector(record.service, record.to_version, routes)
+
     def _share(self, record: ShiftRecord, shift: Shift) -> int:
         if shift.intent is ShiftIntent.TAKE_BACK:
             return 0
         stop = self._stops.get((record.service, record.to_version))
-        if stop is not None and stop.step >= record.started:
+        old_serves = (record.service, record.from_version) in self._served
+        if stop is not None and stop.step >= record.started and old_serves:
             return 0
         if (shift.service, shift.to_version) != (
             record.service,
@@ -200,3 +284,8 @@
         ):
             return 0
         return min(record.share_ppm, record.cap_ppm, to_ppm(shift.cap))
+
+
+def _precedence(record: ShiftRecord) -> tuple[bool, int]:
+    """A shift in progress replaces a finished one, a later an earlier."""
+    return record.state is not ShiftState.DONE, record.started
--- /dev/null
+++ b/src/radishmux/shift/controller.py
@@ -0,0 +1,285 @@
+"""Moves shifts: one instance at a time decides and writes their steps."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import msgspec
+from loguru import logger
+
+from radishmux.clock import Clock
+from radishmux.config.model import Configuration
+from radishmux.outcome import NotFound, Unavailable, Unknown
+from radishmux.shift.chooser import Stop, VersionChooser
+from radishmux.shift.document import (
+    FINAL,
+    KEY,
+    ShiftDocument,
+    ShiftRecord,
+    decode,
+    encode,
+)
+from radishmux.shift.lease import ControllerLease
+from radishmux.shift.plan import Measured, Planner
+from radishmux.steer.region import RegionLoads
+from radishmux.steer.selector import ConfigSource
+from radishmux.store.interface import Entry, Store
+
+PERIOD_S = 1.0
+
+
+class MetricsSink(Protocol):
+    """Takes counters and gauges."""
+
+    def count(self, name: str, amount: float = 1, **labels: Any) -> None:
+        """Adds to a counter."""
+
+    def set(self, name: str, value: float, **labels: Any) -> None:
+        """Sets a gauge."""
+
+
+def next_document(
+    document: ShiftDocument,
+    configuration: Configuration,
+    measured: Callable[[ShiftRecord], Measured],
+    stops: Mapping[tuple[str, str], Stop],
+    planner: Planner,
+    now: float,
+) -> ShiftDocument:
+    """Returns the document after now's decisions; the same if none is due.
+
+    Args:
+        document: The document so far.
+        configuration: What the operators want.
+        measured: Measurements for a shift.
+        stops: Known faults by service and version.
+        planner: Decides single shifts.
+        now: Unix time.
+    """
+    sequence = document.sequence + 1
+    known = {record.name: record for record in document.shifts}
+    busy = {
+        record.service
+        for record in document.shifts
+        if record.state not in FINAL
+    }
+    records = []
+    for shift in configuration.shifts:
+        before = known.get(shift.name)
+        record = before
+        if record is None:
+            in_progress = shift.service in busy
+            record = planner.propose(shift, sequence, in_progress, now)
+            busy.add(shift.service)
+        stop = stops.get((record.service, record.to_version))
+        record = planner.advance(record, shift, measured(record), stop, now)
+        if before is None or record.share_ppm != before.share_ppm:
+            record = msgspec.structs.replace(record, step=sequence)
+        records.append(record)
+    if tuple(records) == document.shifts:
+        return document
+    return msgspec.structs.replace(
+        document, sequence=sequence, shifts=tuple(records)
+    )
+
+
+class Controller:
+    """Runs on every instance; acts while it holds the controller lease.
+
+    A background part: an async context manager. Every write is a
+    compare-and-swap on the document's revision. The first write under a lease
+    raises the fencing epoch, so a former holder's revision is out of date even
+    if its write arrives late.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        incarnation: int,
+        store: Store,
+        config: ConfigSource,
+        chooser: VersionChooser,
+        loads: RegionLoads,
+        clock: Clock,
+        metrics: MetricsSink,
+        planner: Planner | None = None,
+        wall: Callable[[], float] = time.time,
+        timeout_s: float = 1.0,
+    ) -> None:
+        self._writer = f"{instance}:{incarnation}"
+        self._store = store
+        self._config = config
+        self._chooser = chooser
+        self._loads = loads
+        self._metrics = metrics
+        self._planner = planner or Planner()
+        self._wall = wall
+        self._timeout_s = timeout_s
+        self._lease = ControllerLease(
+            instance, incarnation, store, clock, timeout_s
+        )
+        self._epoch: int | None = None
+        self._writes = itertools.count(1)
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Controller:
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        await self._lease.release()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self.step()
+            except Exception as error:  # Keeps the fleet controllable.
+                logger.error("controller step failed: {!r}", error)
+            await asyncio.sleep(PERIOD_S)
+
+    async def step(self) -> bool:
+        """Takes the decisions that are due.
+
+        Returns:
+            Whether this instance holds the lease.
+        """
+        if not self._is_needed():
+            self._epoch = None
+            await self._lease.release()
+            return False
+        held = await self._lease.ensure()
+        self._metrics.set("controller_held", float(held))
+        if not held:
+            self._epoch = None
+            return False
+        entry = await self._store.get(KEY, self._timeout_s)
+        if isinstance(entry, NotFound):
+            await self._decide(ShiftDocument(), 0)
+        elif isinstance(entry, Entry):
+            await self._decide(decode(entry.value), entry.revision)
+        return True
+
+    def _is_needed(self) -> bool:
+        """Whether there is a shift to move, or one to forget."""
+        if self._config.current.shifts:
+            return True
+        return bool(self._chooser.document.shifts)
+
+    async def _decide(self, document: ShiftDocument, revision: int) -> None:
+        self._chooser.on_document(document)
+        if self._epoch is not None and document.epoch != self._epoch:
+            # Another holder has acted, so this lease has lapsed unnoticed.
+            self._epoch = None
+            await self._lease.release()
+            return
+        stops = {
+            (stop.service, stop.version): stop for stop in self._chooser.stops
+        }
+        decided = next_document(
+            document,
+            self._config.current,
+            self._measure,
+            stops,
+            self._planner,
+            self._wall(),
+        )
+        if self._epoch is None:
+            decided = msgspec.structs.replace(
+                decided,
+                epoch=document.epoch + 1,
+                sequence=document.sequence + 1,
+            )
+        if decided is not document:
+            await self._write(document, decided, revision)
+
+    async def _write(
+        self, before: ShiftDocument, after: ShiftDocument, revision: int
+    ) -> None:
+        writer = f"{self._writer}:{next(self._writes)}"
+        after = msgspec.structs.replace(after, writer=writer)
+        value = encode(after)
+        # The process may have been frozen since the lease was renewed.
+        if not self._lease.is_held():
+            self._epoch = None
+            return
+        result: object = await self._store.compare_and_swap(
+            KEY, revision, value, self._timeout_s
+        )
+        if isinstance(result, Unknown):
+            result = await self._read_back(writer)
+        if not isinstance(result, Entry):
+            # Lost or unresolved: the next step starts from what the store has.
+            self._epoch = None
+            return
+        self._epoch = after.epoch
+        self._chooser.on_document(after)
+        self._tell(before, after)
+
+    async def _read_back(self, writer: str) -> Entry | None:
+        entry = await self._store.get(KEY, self._timeout_s)
+        if isinstance(entry, Unavailable):
+            return None
+        return entry if decode(entry.value).writer == writer else None
+
+    def _tell(self, before: ShiftDocument, after: ShiftDocument) -> None:
+        states = {record.name: record.state for record in before.shifts}
+        for record in after.shifts:
+            self._metrics.set(
+                "shift_share",
+                record.share_ppm / 1e6,
+                service=record.service,
+                version=record.to_version,
+            )
+            if states.get(record.name) is record.state:
+                continue
+            self._metrics.count("shift_changes_total", state=record.state.value)
+            logger.info(
+                "shift {}: {}: {}",
+                record.name,
+                record.state.value,
+                record.reason,
+            )
+
+    def _measure(self, record: ShiftRecord) -> Measured:
+        """Returns what heartbeats tell about a service.
+
+        Cells report their slots over all versions, so the new version's ready
+        slots are its configured ones times the part of all slots reported.
+        """
+        configured: dict[str, int] = {}
+        new = 0
+        for server in self._config.current.backend_servers:
+            if server.service != record.service:
+                continue
+            slots = configured.get(server.region, 0)
+            configured[server.region] = slots + server.slots
+            new += server.slots * (server.version == record.to_version)
+        loads = [
+            self._loads.region_load(record.service, region)
+            for region in configured
+        ]
+        judged = self._chooser.judged(record.service)
+        heard = [load for load in loads if load is not None]
+        if not heard:
+            return Measured(configured_slots=new, judged=judged)
+        ready = min(
+            1.0,
+            sum(load.slots for load in heard)
+            / max(1, sum(configured.values())),
+        )
+        return Measured(
+            configured_slots=new,
+            ready_slots=new * ready,
+            demand_slots=sum(load.in_use + load.queued for load in heard),
+            judged=judged,
+        )
--- a/src/radishmux/shift/document.py
+++ b/src/radishmux/shift/document.py
@@ -64,6 +64,7 @@
         step: `ShiftDocument.sequence` of the latest change of the share.
         since: Unix time of the latest change.
         resume: State to return to from `PAUSED`.
+        late: Whether the deadline passed before the shift was done.
         events: The latest steps, oldest first.
     """
 
@@ -81,6 +82,7 @@
     accepted_at: float = 0.0
     since: float = 0.0
     resume: ShiftState = ShiftState.CANARY
+    late: bool = False
     reason: str = ""
     events: tuple[ShiftEvent, ...] = ()
 
--- /dev/null
+++ b/src/radishmux/shift/sync.py
@@ -0,0 +1,216 @@
+"""Brings steps, stops and evidence to and from the other instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any, Protocol
+
+import msgspec
+from loguru import logger
+
+from radishmux.peer import messages
+from radishmux.shift.chooser import EvidenceBundle, Stop, VersionChooser
+from radishmux.shift.detector import Evidence
+from radishmux.shift.document import KEY, decode
+from radishmux.steer.selector import ConfigSource
+from radishmux.store.interface import Entry, Store
+
+# One read per instance and second while the configuration names a shift: 10
+# reads/s for 10 instances, which a store of 2,000 reads/s bears up to about
+# 1,000 instances. Larger fleets need one reader per region and a relay.
+READ_PERIOD_S = 1.0
+EVIDENCE_PERIOD_S = 0.1
+# A stop that a peer has not acknowledged is sent again.
+RESEND_PERIOD_S = 0.25
+PEER_TIMEOUT_S = 0.25
+
+
+class Bus(Protocol):
+    """Messages between instances (`peer.bus.PeerBus`)."""
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Names of the known peers."""
+
+    def handle(self, message_type: type) -> Any:
+        """Returns a decorator that registers a handler."""
+
+    async def request(
+        self, instance: str, message: Any, timeout_s: float
+    ) -> Any:
+        """Sends a message to one peer; falsy when it is unavailable."""
+
+    async def broadcast(self, message: Any, timeout_s: float) -> Any:
+        """Sends a message to all peers."""
+
+
+class MetricsSink(Protocol):
+    """Takes counters."""
+
+    def count(self, name: str, amount: float = 1, **labels: Any) -> None:
+        """Adds to a counter."""
+
+
+class ShiftSync:
+    """Keeps this instance's chooser in step with the fleet.
+
+    A background part: an async context manager.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        bus: Bus,
+        config: ConfigSource,
+        chooser: VersionChooser,
+        metrics: MetricsSink,
+        timeout_s: float = 1.0,
+    ) -> None:
+        self._store = store
+        self._bus = bus
+        self._config = config
+        self._chooser = chooser
+        self._metrics = metrics
+        self._timeout_s = timeout_s
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._senders: dict[tuple[str, str], asyncio.Task[None]] = {}
+        chooser.watch_stops(self._on_own_stop)
+        bus.handle(messages.VersionStopped)(self._on_version_stopped)
+        bus.handle(messages.VersionEvidence)(self._on_version_evidence)
+
+    async def __aenter__(self) -> ShiftSync:
+        for loop in (self._read_loop(), self._evidence_loop()):
+            self._tasks.add(asyncio.create_task(loop))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for task in [*self._tasks, *self._senders.values()]:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    async def read(self) -> None:
+        """Reads the shifts document once."""
+        entry = await self._store.get(KEY, self._timeout_s)
+        if not isinstance(entry, Entry):
+            return
+        try:
+            document = decode(entry.value)
+        except msgspec.DecodeError as error:
+            logger.error("shifts document is unreadable: {}", error)
+            return
+        self._chooser.on_document(document)
+
+    async def _read_loop(self) -> None:
+        while True:
+            if self._config.current.shifts or self._chooser.document.shifts:
+                await self.read()
+            await asyncio.sleep(READ_PERIOD_S)
+
+    async def _evidence_loop(self) -> None:
+        while True:
+            await asyncio.sleep(EVIDENCE_PERIOD_S)
+            for bundle in self._chooser.take_evidence():
+                await self._bus.broadcast(_to_message(bundle), PEER_TIMEOUT_S)
+
+    def _on_own_stop(self, stop: Stop) -> None:
+        self._metrics.count(
+            "versions_stopped_total",
+            service=stop.service,
+            version=stop.version,
+            source="own",
+        )
+        logger.warning("version stopped: {}", stop.reason)
+        key = (stop.service, stop.version)
+        former = self._senders.pop(key, None)
+        if former is not None:
+            former.cancel()
+        self._senders[key] = asyncio.create_task(self._send(stop))
+
+    async def _send(self, stop: Stop) -> None:
+        """Sends a stop to each peer until it has acknowledged."""
+        message = messages.VersionStopped(
+            service_name=stop.service,
+            version=stop.version,
+            route=stop.route,
+            reason=stop.reason,
+            epoch=stop.step,
+        )
+        acknowledged: set[str] = set()
+        while self._is_wanted(stop):
+            missing = [p for p in self._bus.peers if p not in acknowledged]
+            if not missing:
+                return
+            replies = await asyncio.gather(
+                *(
+                    self._bus.request(peer, message, PEER_TIMEOUT_S)
+                    for peer in missing
+                )
+            )
+            for peer, reply in zip(missing, replies, strict=True):
+                if reply:
+                    acknowledged.add(peer)
+            if len(acknowledged) < len(self._bus.peers):
+                await asyncio.sleep(RESEND_PERIOD_S)
+
+    def _is_wanted(self, stop: Stop) -> bool:
+        return any(
+            (shift.service, shift.to_version) == (stop.service, stop.version)
+            for shift in self._config.current.shifts
+        )
+
+    async def _on_version_stopped(self, message: Any, sender: Any) -> Any:
+        stop = Stop(
+            service=message.service_name,
+            version=message.version,
+            route=message.route,
+            reason=message.reason,
+            step=message.epoch,
+        )
+        if self._chooser.on_stop(stop):
+            self._metrics.count(
+                "versions_stopped_total",
+                service=stop.service,
+                version=stop.version,
+                source="peer",
+            )
+        return messages.Done(accepted=True, reason="")
+
+    async def _on_version_evidence(self, message: Any, sender: Any) -> Any:
+        bundle = EvidenceBundle(
+            service=message.service_name,
+            version=message.version,
+            step=message.epoch,
+            evidence=tuple(
+                Evidence(
+                    route=one.route,
+                    errors=one.errors,
+                    error_requests=one.error_requests,
+                    latency=one.latency,
+                    latency_requests=one.latency_requests,
+                )
+                for one in message.routes or ()
+            ),
+        )
+        self._chooser.on_evidence(bundle)
+        return messages.Done(accepted=True, reason="")
+
+
+def _to_message(bundle: EvidenceBundle) -> Any:
+    return messages.VersionEvidence(
+        service_name=bundle.service,
+        version=bundle.version,
+        epoch=bundle.step,
+        routes=[
+            messages.RouteEvidence(
+                route=one.route,
+                errors=one.errors,
+                error_requests=one.error_requests,
+                latency=one.latency,
+                latency_requests=one.latency_requests,
+            )
+            for one in bundle.evidence
+        ],
+    )
