Name the offending value in errors of settings and configuration files

The message gave the file, the path and what is allowed, but not the value.

Before: 'Expected int >= 1 - at $.cell_size'.

--- a/bench/control.py
+++ b/bench/control.py
@@ -29,18 +29,22 @@
 _SIZES = (3, 5, 10, 20, 40)
 _SETTLE_S = 5.0
 _SAMPLE = re.compile(rf"^{PREFIX}(\w+?)(?:\{{(.*)\}})? (\S+)$")
-# Counters whose growth per second is reported, by the reported name.
+# Counters whose growth per second is reported, by the reported name. The
+# store's operations other than reads are writes.
 _COUNTERS = {
     "control_bytes_total": "bytes_per_s",
     "control_messages_total": "messages_per_s",
     "store_calls_total": "store_calls_per_s",
+    "store_reads": "store_reads_per_s",
 }
+_READ = 'operation="get"'
 _FIELDS = (
     "cpu_percent",
     "bytes_per_s",
     "messages_per_s",
     "bytes_per_message",
     "store_calls_per_s",
+    "store_reads_per_s",
     "resident_mb",
 )
 
@@ -53,8 +57,10 @@
     for line in text.splitlines():
         match = _SAMPLE.match(line)
         if match is not None:
-            name = match[1]
-            totals[name] = totals.get(name, 0.0) + float(match[3])
+            name, value = match[1], float(match[3])
+            totals[name] = totals.get(name, 0.0) + value
+            if name == "store_calls_total" and _READ in (match[2] or ""):
+                totals["store_reads"] = totals.get("store_reads", 0.0) + value
     return totals
 
 
--- a/src/radishmux/settings/loader.py
+++ b/src/radishmux/settings/loader.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import pathlib
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import json5
 import msgspec
 
+from radishmux.config.validation import describe_error
+
 T = TypeVar("T")
 
 
 class SettingsError(Exception):
-    """A file that cannot be used: the file, the path within it and why."""
+    """A file that cannot be used: file, path, value and what is allowed."""
 
 
 def parse(text: str, kind: type[T], source: str) -> T:
@@ -33,7 +35,17 @@
     try:
         return msgspec.convert(document, kind)
     except msgspec.ValidationError as error:
-        raise SettingsError(f"{source}: {error}") from error
+        raise SettingsError(
+            f"{source}: {_describe(error, document)}"
+        ) from error
+
+
+def _describe(error: msgspec.ValidationError, document: Any) -> str:
+    problem = describe_error(error, document)
+    if isinstance(problem.value, dict | list):
+        # A field of the object is unknown or missing; the text names it.
+        return f"{problem.path}: {problem.allowed}"
+    return str(problem)
 
 
 def load(path: pathlib.Path, kind: type[T]) -> T:
--- a/tests/test_basics.py
+++ b/tests/test_basics.py
@@ -35,3 +35,12 @@
     assert "fleet.jsonc" in message
     assert "$.customers[0].rate_per_s" in message
     assert "> 0" in message
+    assert "-1 is not allowed" in message
+
+
+def test_unknown_setting_is_named_without_the_whole_document():
+    with pytest.raises(SettingsError) as caught:
+        parse('{"regionz": [], "version": 1}', Configuration, "fleet.jsonc")
+    assert str(caught.value) == (
+        "fleet.jsonc: $: Object contains unknown field `regionz`"
+    )
