Run shifts in the daemon and report them with one set of sentences

Cause: controller, detector and spread of steps existed without being run; radishctl worded reports on its own, beside shift/report.py. Change: App enters ShiftSync and Controller and gives the chooser its detector; radishctl report prints the sentences and steps of ShiftReport.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -273,6 +273,13 @@
             raise FleetError(f"radishctl {arguments[0]}: {done.stderr}")
         return json.loads(done.stdout) if done.stdout.strip() else None
 
+    @staticmethod
+    def control(address: str, **change: Any) -> None:
+        """Sets faults of a stand-in."""
+        body = msgspec.json.encode(change)
+        request = urllib.request.Request(f"http://{address}/control", body)
+        urllib.request.urlopen(request, timeout=5.0).close()
+
     def write(self, name: str, value: Any) -> pathlib.Path:
         """Writes a JSON file that vanishes with the fleet."""
         path = self._path / name
--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -41,11 +41,14 @@
 from radishmux.share.book import ShareBook
 from radishmux.share.manager import ShareManager
 from radishmux.shift.chooser import VersionChooser
+from radishmux.shift.controller import Controller
+from radishmux.shift.detector import Detector
+from radishmux.shift.sync import ShiftSync
 from radishmux.status import StatusReporter
 from radishmux.steer.links import LinkBudgets, LinkLimitedRegions
+from radishmux.steer.loads import CellRegionLoads
 from radishmux.steer.lookup import TTL_S, Lookup
 from radishmux.steer.region import RegionChooser
-from radishmux.steer.region_loads import RegionLoadSum
 from radishmux.steer.selector import SelectorTable
 from radishmux.store.budget import BudgetedStore
 from radishmux.store.interface import Store, store_drivers
@@ -175,7 +178,7 @@
             PeerBus(own.instance, self._incarnation, own.control_address)
         )
         self._notices = PeerNotices(self._bus)
-        store = await self._enter_store(stack)
+        self._store = await self._enter_store(stack)
         instance_list = await stack.enter_async_context(
             instance_list_drivers[settings.instance_list.driver](
                 settings.instance_list.addresses, metrics
@@ -193,7 +196,7 @@
         )
         book = ShareBook(own.instance, self._incarnation)
         self._roster = await stack.enter_async_context(
-            RosterKeeper(store, self._view, book, clock, metrics)
+            RosterKeeper(self._store, self._view, book, clock, metrics)
         )
         self._config = ConfigState()
         self._shares = await stack.enter_async_context(
@@ -205,7 +208,13 @@
         self._config.watch(lambda c: self._view.set_config_version(c.version))
         self._distribution = await stack.enter_async_context(
             Distribution(
-                store, self._config, self._bus, self._view, own, clock, metrics
+                self._store,
+                self._config,
+                self._bus,
+                self._view,
+                own,
+                clock,
+                metrics,
             )
         )
 
@@ -234,19 +243,17 @@
         )
         self._blocks = NoBlocks()
         self._cells = CellMap(self._config, self._view)
+        loads = CellRegionLoads(self._cells, self._view)
         self._links = LinkBudgets(
             own.region, self._config, self._view, clock.now()
         )
         self._regions = LinkLimitedRegions(
             own.region,
-            RegionChooser(
-                own.region,
-                self._config,
-                RegionLoadSum(self._cells, self._view),
-            ),
+            RegionChooser(own.region, self._config, loads),
             self._links,
         )
-        self._chooser = VersionChooser(self._config)
+        self._chooser = VersionChooser(self._config, Detector)
+        await self._enter_shifts(stack, loads)
         gate = DispatchGate(clock, self._view)
         marks = CrashMarks()
         watch = SilenceWatch()
@@ -286,6 +293,32 @@
             tracer=self._tracer,
         )
 
+    async def _enter_shifts(
+        self, stack: contextlib.AsyncExitStack, loads: CellRegionLoads
+    ) -> None:
+        """Enters the spread of shift steps and the controller."""
+        await stack.enter_async_context(
+            ShiftSync(
+                store=self._store,
+                bus=self._bus,
+                config=self._config,
+                chooser=self._chooser,
+                metrics=self._metrics,
+            )
+        )
+        await stack.enter_async_context(
+            Controller(
+                instance=self._own.instance,
+                incarnation=self._incarnation,
+                store=self._store,
+                config=self._config,
+                chooser=self._chooser,
+                loads=loads,
+                clock=self._clock,
+                metrics=self._metrics,
+            )
+        )
+
     async def _enter_requests(self, stack: contextlib.AsyncExitStack) -> None:
         """Enters the request path and the HTTP servers."""
         clock, metrics, own = self._clock, self._metrics, self._own
--- a/src/radishmux/cli/inspect_commands.py
+++ b/src/radishmux/cli/inspect_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Annotated, Any
 
 import typer
@@ -18,6 +19,7 @@
 from radishmux.cli.output import TEXT, Output, emit
 from radishmux.cli.shift_records import read_shifts, report_text
 from radishmux.outcome import NotFound, Unavailable
+from radishmux.shift.report import build_report
 
 _MILLISECONDS = 1e3
 
@@ -77,8 +79,9 @@
     ]
     if shift is not None and not found:
         raise CliError(f"no report on a shift {shift}", ExitCode.NOT_FOUND)
-    text = "\n\n".join(map(report_text, found)) or "There are no shifts."
-    emit({"shifts": found}, output, text)
+    reports = [build_report(record, time.time()) for record in found]
+    text = "\n\n".join(map(report_text, reports)) or "There are no shifts."
+    emit({"reports": reports}, output, text)
 
 
 def merge_spans(answers: list[Any]) -> list[dict[str, Any]]:
--- a/src/radishmux/cli/shift_commands.py
+++ b/src/radishmux/cli/shift_commands.py
@@ -25,6 +25,7 @@
 from radishmux.cli.waiting import progress_display
 from radishmux.config.model import Shift, ShiftIntent
 from radishmux.shift.document import FINAL, ShiftRecord
+from radishmux.shift.report import build_report
 
 app = typer.Typer(no_args_is_help=True, help="Shifts between versions.")
 
@@ -191,7 +192,7 @@
             ExitCode.UNAVAILABLE,
         )
     if output is OutputFormat.TEXT:
-        print(report_text(seen))
+        print(report_text(build_report(seen, time.time())))
 
 
 def _show(
--- a/src/radishmux/cli/shift_records.py
+++ b/src/radishmux/cli/shift_records.py
@@ -13,7 +13,8 @@
 from radishmux.cli.errors import CliError, ExitCode, error_from
 from radishmux.outcome import NotFound, Unavailable
 from radishmux.shift import document
-from radishmux.shift.document import ShiftDocument, ShiftRecord, ShiftState
+from radishmux.shift.document import ShiftDocument, ShiftRecord
+from radishmux.shift.report import ShiftReport
 from radishmux.store.interface import Entry
 
 _CALL_TIMEOUT_S = 2.0
@@ -22,17 +23,6 @@
 _POLL_S = 2.0
 _PPM = 1_000_000
 
-_RESULTS = {
-    ShiftState.PROPOSED: "has not started yet",
-    ShiftState.CANARY: "is testing the new version on a small share",
-    ShiftState.RAMPING: "is moving traffic to the new version",
-    ShiftState.VERIFYING: "carries its cap and is being verified",
-    ShiftState.DONE: "is done: the new version carries its share",
-    ShiftState.PAUSED: "is paused",
-    ShiftState.TAKEN_BACK: "was rolled back: the old version serves all",
-    ShiftState.IMPOSSIBLE: "cannot meet its deadline and moves nothing",
-}
-
 
 async def read_shifts(addresses: list[str]) -> ShiftDocument:
     """Returns the document of all shifts; empty when there is none.
@@ -70,28 +60,14 @@
             await asyncio.sleep(max(0.0, min(_POLL_S, remaining_s)))
 
 
-def report_text(record: ShiftRecord) -> str:
-    """Returns what a manager needs to know about a shift."""
-    lines = [
-        f"Shift {record.name} of {record.service}, from"
-        f" {record.from_version} to {record.to_version},"
-        f" {_RESULTS[record.state]}.",
+def report_text(report: ShiftReport) -> str:
+    """Returns a report with its steps, a line for each."""
+    steps = [
+        f"  {_moment(event.at)}  {event.state.value:<10}"
+        f" {_percent(event.share_ppm):>6}  {event.reason}"
+        for event in report.events
     ]
-    if record.reason:
-        lines.append(f"  Reason: {record.reason}")
-    lines.append(
-        f"  Share of the new version: {_percent(record.share_ppm)} of at"
-        f" most {_percent(record.cap_ppm)}"
-    )
-    lines.append(f"  Deadline: {_moment(record.deadline)}")
-    if record.accepted_at:
-        lines.append(f"  Accepted: {_moment(record.accepted_at)}")
-    for event in record.events:
-        lines.append(
-            f"  {_moment(event.at)}  {event.state.value:<10}"
-            f" {_percent(event.share_ppm):>6}  {event.reason}"
-        )
-    return "\n".join(lines)
+    return "\n".join([report.sentences, *steps])
 
 
 def _decode(entry: Entry) -> ShiftDocument:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -19,6 +19,7 @@
 from radishmux.cli.shift_commands import parse_deadline
 from radishmux.cli.shift_records import report_text
 from radishmux.shift import document
+from radishmux.shift.report import build_report
 
 ROOT = pathlib.Path(__file__).parents[2]
 TRUST = str(ROOT / "deploy" / "trust.jsonc")
@@ -98,7 +99,7 @@
     shift = run("config", "show", *at)["shifts"][0]
     assert intent == shift["intent"] == "take_back"
     assert shift["from_version"] == "2026.11"
-    assert run("report", *at) == {"shifts": []}
+    assert run("report", *at) == {"reports": []}
     run("report", "mist", *at, code=5)
     run("shift", "follow", "mist", "--timeout", "0.1", *at, code=5)
 
@@ -115,10 +116,10 @@
         state=document.ShiftState.TAKEN_BACK,
         reason="10.0% of its requests failed against 0.2% before",
     )
-    text = report_text(record)
-    assert "was rolled back" in text
+    text = report_text(build_report(record, now=1.7e9))
+    assert "was taken back" in text
     assert "10.0% of its requests failed" in text
-    assert "0% of at most 50%" in text
+    assert "At most 0% of the traffic had moved" in text
 
 
 def test_deadlines_are_durations_or_times_with_an_offset():
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -12,9 +12,6 @@
 import itertools
 import os
 import signal
-import urllib.request
-
-import msgspec
 
 from bench.fleet import Fleet, free_addresses, get_json, plan_instances
 from radishmux.config.model import (
@@ -79,17 +76,11 @@
     )
 
 
-def _control(address: str, **change: object) -> None:
-    body = msgspec.json.encode(change)
-    request = urllib.request.Request(f"http://{address}/control", data=body)
-    urllib.request.urlopen(request, timeout=5).close()
-
-
 async def _inject_faults(fleet: Fleet) -> None:
     """Kills one daemon, freezes another and hangs the store, overlapping."""
     killed, frozen = fleet.instances[1], fleet.instances[4]
     await asyncio.sleep(3.0)
-    _control(fleet.store, down="hang")
+    fleet.control(fleet.store, down="hang")
     await asyncio.sleep(1.0)
     os.kill(fleet.daemon(frozen.instance).pid, signal.SIGSTOP)
     await asyncio.sleep(0.5)
@@ -97,7 +88,7 @@
     await asyncio.sleep(3.5)
     os.kill(fleet.daemon(frozen.instance).pid, signal.SIGCONT)
     await asyncio.sleep(1.0)
-    _control(fleet.store, down="no")
+    fleet.control(fleet.store, down="no")
 
 
 def _runs(configuration: Configuration) -> list[dict]:
@@ -126,7 +117,7 @@
         fleet.start_daemons()
         fleet.wait_ready()
         for server in configuration.backend_servers:
-            _control(server.address, latency_s=RUN_S)
+            fleet.control(server.address, latency_s=RUN_S)
         callers = Callers(plans, SEED)
 
         async def run() -> None:
