--- a/bench/virtual_fleet.py
+++ b/bench/virtual_fleet.py
@@ -44,6 +44,7 @@
         self.value = b""
         self.revision = 0
         self.loss = 0.0
+        self.slowness_s = 0.0
         self.duplication = 0.0
         self.store_up = True
         self.store_loss = 0.0
@@ -136,6 +137,7 @@
             return
         delay_s = self._latency_s(source, target)
         delay_s *= 1.0 + 0.2 * self.random.random()
+        delay_s += self.slowness_s * self.random.random()
         self.at(self.now + delay_s, arrive)
 
     def _latency_s(self, source: str, target: str) -> float:
--- a/src/radishmux/membership/_peer_state.py
+++ b/src/radishmux/membership/_peer_state.py
@@ -33,6 +33,8 @@
     """
 
     __slots__ = (
+        "_record",
+        "_record_of",
         "acknowledged_at",
         "chart",
         "config_version",
@@ -60,6 +62,12 @@
         self.listed: Instance | None = None
         self.entry: RosterEntry | None = None
         self.was_listed = False
+        self._record: Instance | None = None
+        self._record_of: tuple[RosterEntry | None, Instance | None, int] = (
+            None,
+            None,
+            0,
+        )
         self._reset(now)
 
     @property
@@ -74,6 +82,14 @@
         The roster is written by the instance itself and so is newer than the
         platform's list, unless that process is gone.
         """
+        entry, listed, dead = self._record_of
+        unchanged = entry is self.entry and listed is self.listed
+        if not unchanged or dead != self.dead_incarnation:
+            self._record_of = (self.entry, self.listed, self.dead_incarnation)
+            self._record = self._make_record()
+        return self._record
+
+    def _make_record(self) -> Instance | None:
         entry = self.entry
         if entry is not None and entry.incarnation > self.dead_incarnation:
             return Instance(
--- a/src/radishmux/membership/_peer_table.py
+++ b/src/radishmux/membership/_peer_table.py
@@ -39,6 +39,19 @@
         """Returns a peer, or None."""
         return self._peers.get(name)
 
+    def state_of(self, name: str) -> str:
+        """Returns the state of a peer; an unknown one is joining."""
+        peer = self._peers.get(name)
+        return peer.chart.state if peer is not None else "joining"
+
+    def dead_processes(self) -> tuple[tuple[str, int], ...]:
+        """Returns the highest incarnation of each peer that is gone."""
+        return tuple(
+            (peer.name, peer.dead_incarnation)
+            for peer in self
+            if peer.dead_incarnation > 0
+        )
+
     def set_roster(self, entries: Iterable[RosterEntry], now: float) -> None:
         """Takes the entries of a roster read."""
         for peer in self:
--- a/src/radishmux/membership/view.py
+++ b/src/radishmux/membership/view.py
@@ -99,8 +99,7 @@
 
     def state_of(self, instance: str) -> str:
         """Returns the state of a peer in statecharts/instance.json."""
-        peer = self._peers.get(instance)
-        return peer.chart.state if peer is not None else "joining"
+        return self._peers.state_of(instance)
 
     def incarnation_of(self, instance: str) -> int:
         """Returns the highest known incarnation, or 0."""
@@ -170,6 +169,10 @@
         peer = self._peers.get(instance)
         return peer is not None and incarnation <= peer.dead_incarnation
 
+    def dead_processes(self) -> tuple[tuple[str, int], ...]:
+        """Returns the highest incarnation of each peer that is gone."""
+        return self._peers.dead_processes()
+
     def proven_dead(self, instance: str) -> bool:
         """Whether the latest known process of an instance is gone.
 
@@ -226,11 +229,9 @@
 
     def roster_revision(self) -> int:
         """Returns the highest roster revision that any live peer has read."""
-        known = [self._roster_revision]
-        for peer in self._peers:
-            if peer.chart.state == "live":
-                known.append(peer.roster_revision)
-        return max(known)
+        live = (p for p in self._peers if p.chart.state == "live")
+        known = (peer.roster_revision for peer in live)
+        return max(self._roster_revision, 0, *known)
 
     def report(self, now: float) -> Any:
         """Returns this instance's own state as a Heartbeat."""
--- a/src/radishmux/share/book.py
+++ b/src/radishmux/share/book.py
@@ -147,6 +147,11 @@
             return False
         return share.take_back(borrower, loan_id, tokens, now)
 
+    def end_loans_to(self, borrower: str, incarnation: int, now: float) -> None:
+        """Ends the loans to a process that is gone for certain."""
+        for share in self._shares.values():
+            share.end_loans_to(borrower, incarnation, now)
+
     def take_grant(
         self, ask: Ask, lender: str, grant: Grant, now: float
     ) -> bool:
--- a/src/radishmux/share/bucket.py
+++ b/src/radishmux/share/bucket.py
@@ -69,10 +69,15 @@
         self._tokens -= 1.0
         return True
 
-    def wait_s(self, now: float) -> float:
-        """Seconds until one token has accrued here; inf if never."""
+    def wait_s(self, now: float, ahead: int = 0) -> float:
+        """Seconds until a token has accrued here; inf if never.
+
+        Args:
+            now: Monotonic seconds.
+            ahead: How many others take a token first.
+        """
         self.advance(now)
-        missing = 1.0 - self._tokens
+        missing = 1.0 + ahead - self._tokens
         if missing <= 0.0:
             return 0.0
         accrual = self._fraction * self._rate_per_s
--- a/src/radishmux/share/customer_share.py
+++ b/src/radishmux/share/customer_share.py
@@ -128,10 +128,10 @@
             self.settle(now)
         return self._bucket.take(now)
 
-    def wait_s(self, now: float) -> float:
+    def wait_s(self, now: float, ahead: int = 0) -> float:
         """Seconds until a token accrues without a loan."""
         self.settle(now)
-        return self._bucket.wait_s(now)
+        return self._bucket.wait_s(now, ahead)
 
     def need(self, now: float) -> float:
         """Fraction that the recent demand needs here."""
@@ -187,6 +187,16 @@
         self._bucket.put(tokens, now)
         return True
 
+    def end_loans_to(self, borrower: str, incarnation: int, now: float) -> None:
+        """Ends the loans to a process that is gone for certain.
+
+        What it lent on may still be in use, but only for an urgent loan.
+        """
+        self.settle(now)
+        end = now + URGENT_LOAN_S + 2 * CLOCK_MARGIN_S
+        self._lent.shorten(borrower, incarnation, end)
+        self._note_ends()
+
     def _lendable(self, duration_s: float, now: float) -> float:
         # Borrowed fractions may be lent on if they outlast the new loan, so
         # that the base and they always cover everything that is lent.
--- a/src/radishmux/share/loan_terms.py
+++ b/src/radishmux/share/loan_terms.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import msgspec
 
 
@@ -20,6 +22,18 @@
         return f"{self._prefix}{self._count}"
 
 
+def incarnation_of(loan_id: str) -> int:
+    """Returns the incarnation of the borrower that chose an id.
+
+    Ids of another form count as never gone, so that their loans run to the
+    agreed end.
+    """
+    parts = loan_id.split("/")
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return sys.maxsize
+    return int(parts[1])
+
+
 class Ask(msgspec.Struct, frozen=True):
     """A LoanRequest to send.
 
--- a/src/radishmux/share/loans.py
+++ b/src/radishmux/share/loans.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from radishmux.share.loan_terms import incarnation_of
+
 LOAN_S = 2.0
 # Loans for requests that already wait. They are short, so that a fraction
 # borrowed for one token is soon back with the instance that needs its rate.
@@ -133,6 +135,13 @@
         self._sum()
         return loan
 
+    def shorten(self, borrower: str, incarnation: int, until: float) -> None:
+        """Makes loans end early whose borrower's process is gone."""
+        for (name, loan_id), loan in self._loans.items():
+            if name == borrower and incarnation_of(loan_id) <= incarnation:
+                loan.until = min(loan.until, until)
+                loan.then_until = min(loan.then_until, until)
+
     def end_due(self, now: float) -> None:
         """Removes the loans that have ended."""
         kept = {}
--- a/src/radishmux/share/manager.py
+++ b/src/radishmux/share/manager.py
@@ -76,6 +76,7 @@
         self._clock = clock
         self._metrics = metrics
         self._waiters: dict[str, dict[asyncio.Future[None], None]] = {}
+        self._ended: dict[str, int] = {}
         self._sends: set[asyncio.Task[None]] = set()
         self._plan_task: asyncio.Task[None] | None = None
         self._release_watchers: list[Callable[[Any, Sender], None]] = []
@@ -164,9 +165,10 @@
         now = self._clock.now()
         if wait_until - now <= TIMER_MARGIN_S or not self._may_use(now):
             return False
-        if len(self._waiters.get(share.name, ())) >= MAX_WAITING:
+        waiting = len(self._waiters.get(share.name, ()))
+        if waiting >= MAX_WAITING:
             return False
-        soon = now + share.wait_s(now) < wait_until
+        soon = now + share.wait_s(now, waiting) < wait_until
         return soon or not share.is_dry(now)
 
     def _may_use(self, now: float) -> bool:
@@ -177,24 +179,38 @@
     ) -> None:
         now = self._clock.now()
         waiters = self._waiters.setdefault(share.name, {})
-        waiting = len(waiters) + 1
-        asks = self._book.ask_urgently(
-            share.name, self._lenders(), waiting, now
-        )
-        for ask in asks:
-            self._start(self._send_ask(ask))
+        if not share.is_asking(now) and not share.is_dry(now):
+            self._ask(share, len(waiters) + 1, now)
         wake: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        waiters[wake] = None
-        # Tokens accrue here too while peers are asked.
-        accrual_s = share.wait_s(now) + TIMER_MARGIN_S
+        # Tokens accrue here too while peers are asked, for one waiter after
+        # the other.
+        accrual_s = share.wait_s(now, len(waiters)) + TIMER_MARGIN_S
         timeout_s = min(wait_until - now, accrual_s, PATIENCE_S)
+        waiters[wake] = None
         try:
             await asyncio.wait((wake,), timeout=timeout_s)
         finally:
             waiters.pop(wake, None)
 
-    def _wake_waiters(self, customer: str) -> None:
-        for wake in self._waiters.get(customer, ()):
+    def _ask(self, share: CustomerShare, waiting: int, now: float) -> None:
+        asks = self._book.ask_urgently(
+            share.name, self._lenders(), waiting, now
+        )
+        for ask in asks:
+            self._start(self._send_ask(ask))
+
+    def _wake_waiters(self, customer: str, now: float) -> None:
+        # Only as many as have a token, unless there is nothing to wait for.
+        waiters = self._waiters.get(customer)
+        share = self._book.get(customer)
+        if not waiters or share is None:
+            return
+        count = len(waiters)
+        if not share.is_dry(now):
+            # After a round without tokens, one waiter starts the next.
+            least = 0 if share.is_asking(now) else 1
+            count = min(count, max(least, int(share.bucket.tokens)))
+        for wake in list(waiters)[:count]:
             if not wake.done():
                 wake.set_result(None)
 
@@ -250,6 +266,7 @@
 
     async def _plan(self) -> None:
         while True:
+            self._end_loans_to_the_dead()
             asks, returns = self._book.plan(self._lenders(), self._clock.now())
             for ask in asks:
                 self._start(self._send_ask(ask))
@@ -257,6 +274,13 @@
                 self._start(self._send_return(back))
             await asyncio.sleep(PLAN_PERIOD_S)
 
+    def _end_loans_to_the_dead(self) -> None:
+        now = self._clock.now()
+        for instance, incarnation in self._view.dead_processes():
+            if self._ended.get(instance, 0) < incarnation:
+                self._ended[instance] = incarnation
+                self._book.end_loans_to(instance, incarnation, now)
+
     def _start(self, send: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(send)
         self._sends.add(task)
@@ -279,7 +303,7 @@
             self._book.take_grant(ask, ask.lender, grant, now)
             granted = "granted" if reply.fraction > 0 else "declined"
             self._metrics.count("loans_asked", outcome=granted)
-        self._wake_waiters(ask.customer)
+        self._wake_waiters(ask.customer, now)
 
     async def _send_return(self, back: GiveBack) -> None:
         message = messages.LoanReturn(loan_id=back.loan_id, tokens=back.tokens)
--- a/tests/test_share_invariant.py
+++ b/tests/test_share_invariant.py
@@ -120,6 +120,12 @@
         self.fleet.cut = lambda a, b: (a in side) != (b in side)
         self.fleet.at(self.fleet.now + seconds, self.heal)
 
+    def cut_off_old(self, index, seconds):
+        """Leaves the store to instances that join from now on."""
+        old = set(self.nodes)
+        self.fleet.cut = lambda a, b: (a in old) != (b in old)
+        self.fleet.at(self.fleet.now + seconds, self.heal)
+
     def heal(self):
         self.fleet.cut = lambda a, b: False
 
@@ -132,6 +138,7 @@
 
     def lossy(self, index, seconds):
         self.fleet.loss = 0.05 * (index % 5)
+        self.fleet.slowness_s = (0.0, 0.3, 0.9)[index % 3]
         self.fleet.duplication = 0.1 * (index % 3)
         self.fleet.store_loss = 0.1 * (index % 5)
 
@@ -186,6 +193,7 @@
     "kill",
     "join",
     "partition",
+    "cut_off_old",
     "store_outage",
     "lossy",
     "skew",
@@ -257,6 +265,19 @@
     "outage ends behind a partition": [
         ("partition", 57, 60.0, 45.0),
     ],
+    # The old ones hear each other, and the joined ones are not in the roster
+    # that they know; they must not lose their shares to them.
+    "only new instances reach the store": [
+        ("cut_off_old", 0, 60.0, 0.1),
+        ("join", 0, 0.0, 0.1),
+        ("join", 1, 0.0, 45.0),
+    ],
+    "late messages": [
+        ("lossy", 7, 0.0, 0.1),
+        ("skew", 0, 0.0, 9.0),
+        ("skew", 1, 0.0, 9.0),
+        ("freeze", 1, 1.5, 4.0),
+    ],
     "store responses lost": [
         ("lossy", 4, 0.0, 4.0),
         ("kill", 3, 2.5, 9.0),
