--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -25,6 +25,7 @@
 from radishmux.http.admin_app import AdminApp
 from radishmux.http.caller_app import CallerApp
 from radishmux.http.forwarder import PeerForwarder
+from radishmux.http.metered_forwarder import MeteredForwarder
 from radishmux.http.peer_app import PeerApp
 from radishmux.http.request_flow import RequestFlow
 from radishmux.instances.interface import Instance, instance_list_drivers
@@ -41,6 +42,7 @@
 from radishmux.share.manager import ShareManager
 from radishmux.shift.chooser import VersionChooser
 from radishmux.status import StatusReporter
+from radishmux.steer.links import LinkBudgets, LinkLimitedRegions
 from radishmux.steer.lookup import TTL_S, Lookup
 from radishmux.steer.region import RegionChooser
 from radishmux.steer.region_loads import RegionLoadSum
@@ -232,8 +234,17 @@
         )
         self._blocks = NoBlocks()
         self._cells = CellMap(self._config, self._view)
-        self._regions = RegionChooser(
-            own.region, self._config, RegionLoadSum(self._cells, self._view)
+        self._links = LinkBudgets(
+            own.region, self._config, self._view, clock.now()
+        )
+        self._regions = LinkLimitedRegions(
+            own.region,
+            RegionChooser(
+                own.region,
+                self._config,
+                RegionLoadSum(self._cells, self._view),
+            ),
+            self._links,
         )
         self._chooser = VersionChooser(self._config)
         gate = DispatchGate(clock, self._view)
@@ -261,15 +272,18 @@
         self._notices.on_crash_report(self._runtime.on_crash_report)
         await stack.enter_async_context(self._runtime)
         self._heartbeats.set_loads_source(lambda: self._runtime.loads)
+        self._keys = KeyCheck(self._config, self._view, metrics)
         self._dispatcher = Dispatcher(
             clock=clock,
             runtime=self._runtime,
             gate=gate,
+            keys=self._keys,
             versions=Versions(self._chooser, self._config),
             observer=Observer(clock, self._chooser, metrics),
             marks=marks,
             watch=watch,
             metrics=metrics,
+            tracer=self._tracer,
         )
 
     async def _enter_requests(self, stack: contextlib.AsyncExitStack) -> None:
@@ -278,14 +292,13 @@
         forwarder = await stack.enter_async_context(
             PeerForwarder(clock, metrics)
         )
-        keys = KeyCheck(self._config, self._view, metrics)
         self._flow = RequestFlow(
             instance=own.instance,
             incarnation=self._incarnation,
             region=own.region,
             clock=clock,
             config=self._config,
-            keys=keys,
+            keys=self._keys,
             shares=self._shares,
             tickets=self._tickets,
             ledger=RequestLedger(self._tickets),
@@ -293,7 +306,9 @@
             regions=self._regions,
             cells=self._cells,
             dispatcher=self._dispatcher,
-            forwarder=forwarder,
+            forwarder=MeteredForwarder(
+                forwarder, own.region, self._links, clock
+            ),
             members=self._view,
             metrics=metrics,
         )
@@ -301,7 +316,7 @@
             self._flow,
             self._lookup,
             self._blocks,
-            keys,
+            self._keys,
             clock,
             metrics,
             self._tracer,
--- a/src/radishmux/keys/check.py
+++ b/src/radishmux/keys/check.py
@@ -47,6 +47,15 @@
     def store_out_for_all(self, now: float) -> bool:
         """Whether no instance can reach the store."""
 
+    def hears(self, instance: str, now: float) -> bool:
+        """Whether a peer acknowledged a heartbeat of the last second."""
+
+    def incarnation_of(self, instance: str) -> int:
+        """Returns the highest known incarnation of a peer, or 0."""
+
+    def incarnation_dead(self, instance: str, incarnation: int) -> bool:
+        """Whether one process of an instance is gone for certain."""
+
     def config_versions(self) -> Mapping[str, int]:
         """Returns the configuration version of each live peer."""
 
@@ -119,6 +128,23 @@
         self._metrics.count("key_checks_total", outcome=outcome)
         return result
 
+    def is_in_force(
+        self, digest: str, customer: str, config_version: int
+    ) -> bool:
+        """Whether a key that admitted a request is still valid.
+
+        Args:
+            digest: SHA-256 of the key, hexadecimal.
+            customer: Name of the customer that it stood for.
+            config_version: Version in force where the request was admitted.
+                A key that a higher version granted is not known here yet.
+        """
+        index = self._state.index
+        if index.configuration.version < config_version:
+            return True
+        found = index.customer_of_digest(digest)
+        return found is not None and found.name == customer
+
     def _check_keyed(self, key: str | None, now: float) -> Customer | Refusal:
         if not key:
             return _unauthorized("no_key", "The request carries no key.")
@@ -143,13 +169,35 @@
         """
         if now - self._outage_checked_at >= _OUTAGE_CHECK_S:
             self._outage_checked_at = now
-            self._outage = self._freshness.store_out_for_all(now)
+            self._outage = self._freshness.store_out_for_all(
+                now
+            ) and self._hears_everyone(now)
         if not self._outage:
             return False
         known = self._freshness.config_versions().values()
         own = self._state.index.configuration.version
         return own >= max(known, default=0)
 
+    def _hears_everyone(self, now: float) -> bool:
+        """Whether every known peer is heard or its process is gone.
+
+        The predicate looks at the roster as this instance last read it,
+        which may be from before the others joined. An instance that hears
+        nobody cannot tell an outage from its own partition.
+        """
+        heard = 0
+        for one in self._freshness.peers():
+            name = one.instance
+            if self._freshness.hears(name, now):
+                heard += 1
+                continue
+            incarnation = self._freshness.incarnation_of(name)
+            if incarnation == 0 or not self._freshness.incarnation_dead(
+                name, incarnation
+            ):
+                return False
+        return heard > 0
+
     def _find(self, key: str) -> Customer | None:
         index = self._state.index
         if index is not self._cached_index:
