--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -46,9 +46,9 @@
 from radishmux.shift.sync import ShiftSync
 from radishmux.status import StatusReporter
 from radishmux.steer.links import LinkBudgets, LinkLimitedRegions
-from radishmux.steer.loads import CellRegionLoads
 from radishmux.steer.lookup import TTL_S, Lookup
 from radishmux.steer.region import RegionChooser
+from radishmux.steer.region_loads import RegionLoadSum
 from radishmux.steer.selector import SelectorTable
 from radishmux.store.budget import BudgetedStore
 from radishmux.store.interface import Store, store_drivers
@@ -243,7 +243,7 @@
         )
         self._blocks = NoBlocks()
         self._cells = CellMap(self._config, self._view)
-        loads = CellRegionLoads(self._cells, self._view)
+        loads = RegionLoadSum(self._cells, self._view)
         self._links = LinkBudgets(
             own.region, self._config, self._view, clock.now()
         )
@@ -294,7 +294,7 @@
         )
 
     async def _enter_shifts(
-        self, stack: contextlib.AsyncExitStack, loads: CellRegionLoads
+        self, stack: contextlib.AsyncExitStack, loads: RegionLoadSum
     ) -> None:
         """Enters the spread of shift steps and the controller."""
         await stack.enter_async_context(
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -17,7 +17,8 @@
     async with backend_process() as server:
         node = Node(Parts([backend("b1", server.address)]))
         async with running(node), aiohttp.ClientSession(node.url) as session:
-            await eventually(lambda: node.runtime.pool("poles/r1/0").slots)
+            pool = await eventually(lambda: node.runtime.pool("poles/r1/0"))
+            await eventually(lambda: pool.slots)
             yield node, server, session
 
 
