--- a/src/radishmux/http/caller_app.py
+++ b/src/radishmux/http/caller_app.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import functools
+import urllib.parse
 from typing import Any, Protocol
 
+import msgspec
 from sanic import HTTPResponse, Request, Sanic
 
 from radishmux.clock import Clock
@@ -25,6 +28,11 @@
 from radishmux.telemetry.traces import Tracer
 from radishmux.verdict import Refusal
 
+# At most 1 MB of query strings.
+_KEPT_QUERIES = 4_096
+_MAX_KEPT_QUERY = 256
+_KEYED_LOOKUP = Route(name="lookup", idempotent=True)
+_PUBLIC_LOOKUP = Route(name="lookup", idempotent=True, open_to_all=True)
 # Refusals that say that the request itself is wrong.
 _INVALID = frozenset(
     (
@@ -109,8 +117,8 @@
         return HTTPResponse(result, content_type="application/json")
 
     def _look_up(self, request: Request, now: float) -> bytes | Refusal:
-        arguments = request.get_args()
-        name = arguments.get("service") or ""
+        query = lookup_query(request.query_string)
+        name = query.service
         service = self._flow.service_named(name)
         if service is None:
             return not_run("unknown_service", "No such service.", 404)
@@ -119,10 +127,9 @@
         customer = self._keys.check(key, route, now)
         if isinstance(customer, Refusal):
             return customer
-        region = arguments.get("region")
-        address = arguments.get("address")
-        if region is None and address is not None:
-            region = self._blocks.region_of(address)
+        region = query.region
+        if region is None and query.address is not None:
+            region = self._blocks.region_of(query.address)
         body = self._lookup.answer_body(
             None if customer is None else customer.name, name, region, now
         )
@@ -217,10 +224,43 @@
     )
 
 
+class LookupQuery(msgspec.Struct, frozen=True):
+    """Arguments of a lookup."""
+
+    service: str
+    region: str | None
+    address: str | None
+
+
+def lookup_query(query_string: str) -> LookupQuery:
+    """Returns the arguments in the query of a URL.
+
+    Parsing takes a tenth of a lookup's processor time (bench/processes.py),
+    and callers repeat few queries. Long ones are not kept, which bounds the
+    memory that callers can take.
+    """
+    if len(query_string) > _MAX_KEPT_QUERY:
+        return _parse_query(query_string)
+    return _kept_query(query_string)
+
+
+def _parse_query(query_string: str) -> LookupQuery:
+    arguments = urllib.parse.parse_qs(query_string)
+    return LookupQuery(
+        arguments.get("service", [""])[0],
+        arguments.get("region", [None])[0],
+        arguments.get("address", [None])[0],
+    )
+
+
+_kept_query = functools.lru_cache(maxsize=_KEPT_QUERIES)(_parse_query)
+
+
 def _lookup_route(service: Service, key: str | None) -> Route:
     """Returns a route whose key rules hold for lookups of a service.
 
     A service with a public route can be looked up without a key.
     """
-    is_public = key is None and any(r.open_to_all for r in service.routes)
-    return Route(name="lookup", idempotent=True, open_to_all=is_public)
+    if key is None and any(r.open_to_all for r in service.routes):
+        return _PUBLIC_LOOKUP
+    return _KEYED_LOOKUP
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -291,4 +291,5 @@
 SPANS: dict[str, str] = {
     "request": "A caller's request, on the instance that received it.",
     "peer": "The same request on an instance that another one sent it to.",
+    "attempt": "One attempt at a backend server, on its dispatcher.",
 }
