--- a/src/radishmux/telemetry/metrics.py
+++ b/src/radishmux/telemetry/metrics.py
@@ -196,7 +196,8 @@
 ) -> None:
     gauge = Gauge(metric.rendered_name, metric.help, registry=registry)
     for one in series:
-        gauge.set(_escaped(one.labels), one.value)
+        # A gauge may hold a bool, which the format does not know.
+        gauge.set(_escaped(one.labels), float(one.value))
 
 
 def _collect_histogram(
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -25,6 +25,7 @@
     m.count("forwards_total", 2, outcome="ok", target="dispatcher")
     m.series("lookup_seconds").observe(0.003)
     m.set("peers", 3, state="live")
+    m.set("ready", True)
     m.count("share_refusals", reason="over_rate")
     m.observe("lookup_seconds", 0.0004)
     m.observe("lookup_seconds", 7)
@@ -34,7 +35,8 @@
         'radishmux_forwards_total{outcome="ok",target="dispatcher"} 3.0'
         in lines
     )
-    assert 'radishmux_peers{state="live"} 3' in lines
+    assert 'radishmux_peers{state="live"} 3.0' in lines
+    assert "radishmux_ready 1.0" in lines
     refusals = 'radishmux_share_refusals_total{customer="",reason="over_rate"}'
     assert f"{refusals} 1.0" in lines
     assert 'radishmux_lookup_seconds_bucket{le="0.0005"} 1.0' in lines
