--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,8 +25,12 @@
 def names() -> list[str]:
     """Returns the names of all benchmarks."""
     policies = sorted(path.stem for path in _FOLDER.glob("policy_*.py"))
-    blocks = ["blocks"] if (_FOLDER / "blocks.py").exists() else []
-    return [*_WITH_RESULTS, *blocks, *policies]
+    others = [
+        name
+        for name in ("blocks", "config_document")
+        if (_FOLDER / f"{name}.py").exists()
+    ]
+    return [*_WITH_RESULTS, *others, *policies]
 
 
 def run(name: str) -> int:
--- a/bench/control.py
+++ b/bench/control.py
@@ -36,6 +36,7 @@
     "control_messages_total": "messages_per_s",
     "store_calls_total": "store_calls_per_s",
     "store_reads": "store_reads_per_s",
+    "roster_conflicts_total": "roster_conflicts_per_s",
 }
 _READ = 'operation="get"'
 _FIELDS = (
@@ -45,6 +46,7 @@
     "bytes_per_message",
     "store_calls_per_s",
     "store_reads_per_s",
+    "roster_conflicts_per_s",
     "resident_mb",
 )
 
@@ -77,8 +79,16 @@
     return spread[:size]
 
 
-def measure_fleet(size: int, duration_s: float) -> dict[str, float]:
-    """Returns means over the daemons of one fleet."""
+def measure_fleet(
+    size: int, duration_s: float, store_ms: float
+) -> dict[str, float]:
+    """Returns means over the daemons of one fleet.
+
+    Args:
+        size: Number of daemons.
+        duration_s: Length of the measurement.
+        store_ms: Delay of the store in each direction, for all daemons.
+    """
     with Fleet(stop_s=2.0) as fleet:
         fleet.start_platform(plan_fleet(size))
         # Without backend servers, because probing them is no control traffic;
@@ -90,6 +100,7 @@
         fleet.radishctl("config", "put", str(path))
         fleet.start_daemons()
         fleet.wait_ready(timeout_s=90.0)
+        _delay_store(fleet.store, store_ms)
         time.sleep(_SETTLE_S)
         before = [_sample(fleet, plan) for plan in fleet.instances]
         time.sleep(duration_s)
@@ -104,6 +115,14 @@
     return {"instances": size, **result}
 
 
+def _delay_store(store: str, delay_ms: float) -> None:
+    change = {"latency_ms": delay_ms, "answer_latency_ms": delay_ms}
+    request = urllib.request.Request(
+        f"http://{store}/control", json.dumps(change).encode()
+    )
+    urllib.request.urlopen(request, timeout=5).close()
+
+
 def slopes(rows: list[dict[str, float]]) -> dict[str, dict[str, float]]:
     """Returns the line through each field against the fleet size."""
     sizes = [row["instances"] for row in rows]
@@ -148,11 +167,13 @@
     }
 
 
-def run(sizes: list[int], duration_s: float) -> dict[str, Any]:
+def run(
+    sizes: list[int], duration_s: float, store_ms: float = 0.0
+) -> dict[str, Any]:
     """Runs the benchmark and returns its results."""
     rows = []
     for size in sizes:
-        rows.append(measure_fleet(size, duration_s))
+        rows.append(measure_fleet(size, duration_s, store_ms))
         print(json.dumps(rows[-1]), flush=True)
     lines = slopes(rows) if len(rows) > 1 else {}
     return {"duration_s": duration_s, "rows": rows, "slopes": lines}
@@ -177,9 +198,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=list(_SIZES))
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--store-ms", type=float, default=0.0)
     parser.add_argument("--json", type=pathlib.Path)
     arguments = parser.parse_args()
-    report = run(arguments.sizes, arguments.seconds)
+    report = run(arguments.sizes, arguments.seconds, arguments.store_ms)
     print_tables(report)
     if arguments.json is not None:
         arguments.json.write_text(json.dumps(report, indent=1) + "\n")
