Let the demo fail when the fleet does not serve

The demo ended with success also when every request was refused. It now needs 90% of the requests that are not refused on purpose, and a trace over two regions.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -17,7 +17,6 @@
 from typing import Any
 
 import aiohttp
-import msgspec
 from msgspec.structs import replace
 from rich.console import Console
 from rich.table import Table
@@ -33,173 +32,35 @@
 )
 from radishmux.cli.inspect_commands import merge_spans, span_tree
 from radishmux.config.model import BackendServer, Configuration
+from scripts.demo_load import (
+    KINDS,
+    SEED,
+    Answered,
+    Caller,
+    Kind,
+    headers_of,
+    mixed_load,
+)
 
-_SEED = 20_261_204
 _USERS = ("association", "trust")
 _INSTANCES_PER_REGION = 3
 # Two servers for each of 4 services in 3 regions: 24 processes.
 _SERVERS_PER_SERVICE_AND_REGION = 2
-_REQUESTS = 600
-_CONCURRENCY = 24
 # No caller is left when a pass ends, so its daemons need not drain.
 _STOP_S = 1.0
+# Kinds that the system refuses on purpose.
+_REFUSED_KINDS = frozenset({"above its rate", "wrong key"})
+# Part of the other requests that must be served for the demo to succeed.
+_SERVED_PART = 0.9
 # The traced request is repeated until its selector is in force.
 _TRACE_TRIES = 60
 _TRACE_PAUSE_S = 0.1
-_PHOTO_BYTES = 300_000
-_DEADLINE_MS = "5000"
-
-
-class Kind(msgspec.Struct, frozen=True):
-    """One kind of request in the mixed load.
 
-    Attributes:
-        weight: Share of the load, relative to the other kinds.
-        customer: Empty for a public route.
-    """
 
-    label: str
-    weight: int
-    customer: str
-    method: str
-    path: str
-    body_bytes: int = 0
-
-
-_KINDS: dict[str, tuple[Kind, ...]] = {
-    "association": (
-        Kind("look up a round", 10, "grand-hopital", "GET", "/rounds/rounds/7"),
-        Kind("public calendar", 2, "", "GET", "/rounds/calendar"),
-        Kind(
-            "log a tray lot", 5, "residences-du-cap", "POST", "/logs/lots", 80
-        ),
-        Kind(
-            *("dock photo", 1, "traiteur-laurier", "PUT", "/photos/carts/9"),
-            _PHOTO_BYTES,
-        ),
-        Kind(
-            *("confirm a credit", 3, "lavoir-central", "POST"),
-            *("/credits/confirm", 60),
-        ),
-        Kind(
-            *("above its rate", 8, "residence-saint-roch", "GET"),
-            "/rounds/rounds/8",
-        ),
-        Kind("wrong key", 1, "nobody", "GET", "/rounds/rounds/7"),
-    ),
-    "trust": (
-        Kind("pole status", 10, "market-traders", "GET", "/poles/status/3"),
-        Kind("public board", 2, "", "GET", "/poles/board"),
-        Kind(
-            *("refill order", 4, "pump-crews-accra", "POST"),
-            *("/refills/orders", 80),
-        ),
-        Kind("open a valve", 2, "pump-crews-tamale", "POST", "/refills/valves"),
-        Kind("payment", 3, "community-funds", "POST", "/payments/pay", 60),
-        Kind(
-            *("inspection photo", 1, "district-officers", "PUT"),
-            *("/inspections/photos/4", _PHOTO_BYTES),
-        ),
-        Kind("above its rate", 16, "clinics", "GET", "/poles/status/5"),
-        Kind("wrong key", 1, "nobody", "GET", "/poles/status/3"),
-    ),
-}
 # Label of the service that the traced request asks for.
 _READS = {"association": "kind=lookup", "trust": "kind=status"}
 
 
-class Answered(msgspec.Struct, frozen=True):
-    """How one request ended."""
-
-    kind: str
-    outcome: str
-    verdict: str
-    attempts: int
-    latency_s: float
-
-
-class Caller:
-    """Sends requests as a caller does: lookup first, then the request."""
-
-    def __init__(
-        self, session: aiohttp.ClientSession, instances: Sequence[InstancePlan]
-    ) -> None:
-        self._session = session
-        self._instances = instances
-        self._random = random.Random(_SEED)
-        self._count = 0
-
-    async def send(self, kind: Kind) -> Answered:
-        """Looks up, sends one request and returns how it ended."""
-        started = time.perf_counter()
-        entry = self._random.choice(self._instances)
-        headers = _headers(kind)
-        address, ticket = await self._look_up(kind, entry, headers)
-        self._count += 1
-        if kind.method != "GET" and ticket:
-            headers["X-Radishmux-Request-Id"] = f"{ticket}/{self._count}"
-        return await self.send_to(address, kind, headers, started)
-
-    async def send_to(
-        self, address: str, kind: Kind, headers: dict[str, str], started: float
-    ) -> Answered:
-        """Sends one request to an instance."""
-        try:
-            async with self._session.request(
-                kind.method,
-                f"http://{address}{kind.path}",
-                data=b"x" * kind.body_bytes if kind.body_bytes else None,
-                headers=headers,
-            ) as response:
-                body = await response.read()
-                return _answered(kind, response, body, started)
-        except (OSError, aiohttp.ClientError, TimeoutError) as error:
-            spent = time.perf_counter() - started
-            return Answered(
-                kind.label, type(error).__name__, "may_have_run", 0, spent
-            )
-
-    async def _look_up(
-        self, kind: Kind, entry: InstancePlan, headers: dict[str, str]
-    ) -> tuple[str, str]:
-        service = kind.path.split("/")[1]
-        url = f"http://{entry.caller}/v1/lookup"
-        query = {"service": service, "region": entry.region}
-        async with self._session.get(
-            url, params=query, headers=headers
-        ) as response:
-            if response.status != 200:
-                return entry.caller, ""
-            answer = await response.json(content_type=None)
-            named = answer["instances"]
-            address = named[0]["address"] if named else entry.caller
-            return address, answer["ticket"]
-
-
-def _headers(kind: Kind) -> dict[str, str]:
-    headers = {"X-Radishmux-Deadline-Ms": _DEADLINE_MS}
-    if kind.customer:
-        headers["X-Radishmux-Key"] = f"demo-{kind.customer}"
-    return headers
-
-
-def _answered(
-    kind: Kind, response: aiohttp.ClientResponse, body: bytes, started: float
-) -> Answered:
-    outcome = "served"
-    if response.status != 200:
-        outcome = f"status {response.status}"
-        if b'"reason"' in body:
-            outcome = msgspec.json.decode(body)["reason"]
-    return Answered(
-        kind.label,
-        outcome,
-        response.headers.get("X-Radishmux-Verdict", ""),
-        int(response.headers.get("X-Radishmux-Attempts", "0")),
-        time.perf_counter() - started,
-    )
-
-
 def demo_configuration(user: str) -> Configuration:
     """Returns a user's configuration with the servers that the demo runs.
 
@@ -236,27 +97,6 @@
     return processes
 
 
-async def mixed_load(
-    kinds: Sequence[Kind], instances: Sequence[InstancePlan]
-) -> list[Answered]:
-    """Sends the mixed load and returns how each request ended."""
-    chooser = random.Random(_SEED)
-    chosen = chooser.choices(
-        kinds, [kind.weight for kind in kinds], k=_REQUESTS
-    )
-    waiting = iter(chosen)
-    answers: list[Answered] = []
-    async with aiohttp.ClientSession() as session:
-        caller = Caller(session, instances)
-
-        async def work() -> None:
-            for kind in waiting:
-                answers.append(await caller.send(kind))
-
-        await asyncio.gather(*(work() for _ in range(_CONCURRENCY)))
-    return answers
-
-
 async def traced_request(
     kind: Kind, entry: InstancePlan, instances: Sequence[InstancePlan]
 ) -> list[dict[str, Any]]:
@@ -267,12 +107,12 @@
     """
     regions = {one.instance: one.region for one in instances}
     spans: list[dict[str, Any]] = []
-    rng = random.Random(_SEED)
+    rng = random.Random(SEED)
     async with aiohttp.ClientSession() as session:
         caller = Caller(session, instances)
         for _ in range(_TRACE_TRIES):
             trace_id = f"{rng.getrandbits(128):032x}"
-            headers = _headers(kind) | {
+            headers = headers_of(kind) | {
                 "traceparent": f"00-{trace_id}-{rng.getrandbits(64):016x}-01"
             }
             now = time.perf_counter()
@@ -324,11 +164,27 @@
     )
 
 
+def check_served(answers: Sequence[Answered]) -> None:
+    """Checks that the requests that should be served mostly were.
+
+    Raises:
+        FleetError: Too many were not.
+    """
+    expected = [one for one in answers if one.kind not in _REFUSED_KINDS]
+    served = sum(one.outcome == "served" for one in expected)
+    if served < _SERVED_PART * len(expected):
+        raise FleetError(f"only {served} of {len(expected)} were served")
+
+
 def run_user(console: Console, fleet: Fleet, user: str) -> None:
-    """Runs one user's pass on a running fleet."""
+    """Runs one user's pass on a running fleet.
+
+    Raises:
+        FleetError: Too many requests failed, or none crossed two regions.
+    """
     configuration = demo_configuration(user)
     instances = fleet.instances
-    kinds = _KINDS[user]
+    kinds = KINDS[user]
     started = time.perf_counter()
     answers = asyncio.run(mixed_load(kinds, instances))
     print_summary(console, user, answers, time.perf_counter() - started)
@@ -344,12 +200,20 @@
     console.print(f"trace of '{kinds[0].label}' from {regions[-1]}:")
     for line in span_tree(spans):
         console.print("  " + line, markup=False)
+    crossed = {one.region for one in instances if _has_span(one, spans)}
+    if len(crossed) < 2:
+        raise FleetError("no request crossed two regions")
+    check_served(answers)
+
+
+def _has_span(plan: InstancePlan, spans: list[dict[str, Any]]) -> bool:
+    return any(span["instance"] == plan.instance for span in spans)
 
 
 def main() -> int:
     """Runs both passes."""
     console = Console(width=100, highlight=False)
-    console.print(f"seed {_SEED}")
+    console.print(f"seed {SEED}")
     try:
         for user in _USERS:
             run_pass(console, user)
