--- a/src/radishmux/dispatch/holdings.py
+++ b/src/radishmux/dispatch/holdings.py
@@ -114,7 +114,9 @@
         """
         changes = Changes()
         # A paused process may get its permit back before it looks here.
-        has_permit = has_permit and now - self._updated_at < MAX_GAP_S
+        is_first = self._updated_at == float("-inf")
+        if not is_first and now - self._updated_at >= MAX_GAP_S:
+            has_permit = False
         self._updated_at = now
         self._has_permit = has_permit
         self._cells.refresh()
--- a/src/radishmux/http/caller_app.py
+++ b/src/radishmux/http/caller_app.py
@@ -7,7 +7,6 @@
 from sanic import HTTPResponse, Request, Sanic
 
 from radishmux.clock import Clock
-from radishmux.config.model import Route, Service
 from radishmux.dispatch.exchange import CallerBodyError, RequestBody
 from radishmux.http import headers as names
 from radishmux.http._sanic import (
@@ -18,6 +17,7 @@
 from radishmux.http.bodies import answer_response, read_body, send_stream
 from radishmux.http.caller_request import CallerRequest
 from radishmux.http.headers import request_headers
+from radishmux.http.lookup_query import LookupQueries, lookup_route
 from radishmux.http.parts import KeyCheck
 from radishmux.http.refusals import not_run
 from radishmux.http.request_flow import RequestFlow
@@ -85,6 +85,7 @@
         self._metrics = metrics
         self._tracer = tracer
         self._in_flight = 0
+        self._queries = LookupQueries()
         self._outcomes: dict[tuple[str, ...], Series] = {}
         self._durations: dict[tuple[str, str], Series] = {}
         self._lookups = metrics.series("lookups_total", outcome="served")
@@ -109,20 +110,19 @@
         return HTTPResponse(result, content_type="application/json")
 
     def _look_up(self, request: Request, now: float) -> bytes | Refusal:
-        arguments = request.get_args()
-        name = arguments.get("service") or ""
+        query = self._queries.parse(request.raw_url)
+        name = query.service
         service = self._flow.service_named(name)
         if service is None:
             return not_run("unknown_service", "No such service.", 404)
         key = request.headers.get(names.KEY)
-        route = _lookup_route(service, key)
+        route = lookup_route(service, key)
         customer = self._keys.check(key, route, now)
         if isinstance(customer, Refusal):
             return customer
-        region = arguments.get("region")
-        address = arguments.get("address")
-        if region is None and address is not None:
-            region = self._blocks.region_of(address)
+        region = query.region
+        if region is None and query.address is not None:
+            region = self._blocks.region_of(query.address)
         body = self._lookup.answer_body(
             None if customer is None else customer.name, name, region, now
         )
@@ -215,12 +215,3 @@
         traceparent,
         received_at,
     )
-
-
-def _lookup_route(service: Service, key: str | None) -> Route:
-    """Returns a route whose key rules hold for lookups of a service.
-
-    A service with a public route can be looked up without a key.
-    """
-    is_public = key is None and any(r.open_to_all for r in service.routes)
-    return Route(name="lookup", idempotent=True, open_to_all=is_public)
