--- a/src/radishmux/dispatch/cell_runtime.py
+++ b/src/radishmux/dispatch/cell_runtime.py
@@ -149,12 +149,16 @@
             )
         return True
 
-    async def settle(self, digest: str, settled: bool) -> None:
-        """Notes the end of a run alone."""
+    def settle(self, digest: str, settled: bool) -> None:
+        """Notes the end of a run alone; peers learn of it in background."""
         if self._marks.end(digest, settled):
-            await self._tell_all(
-                CrashReport(digest=digest, request_id="", backend_server="")
+            report = CrashReport(
+                digest=digest, request_id="", backend_server=""
             )
+            self._start(self._tell_everyone(report))
+
+    async def _tell_everyone(self, report: CrashReport) -> None:
+        await self._tell_all(report)
 
     def update(self) -> None:
         """Compares held cells with members and configuration."""
--- a/src/radishmux/dispatch/dispatcher.py
+++ b/src/radishmux/dispatch/dispatcher.py
@@ -222,7 +222,7 @@
         finally:
             if alone:
                 settled = received is not None and not crashed
-                await self._runtime.settle(exchange.digest, settled)
+                self._runtime.settle(exchange.digest, settled)
             if not isinstance(received, Received) or received.stream is None:
                 pool.release(backend)
         self._observer.attempt(
