--- a/src/radishmux/http/caller_app.py
+++ b/src/radishmux/http/caller_app.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import functools
-import urllib.parse
 from typing import Any, Protocol
 
-import msgspec
 from sanic import HTTPResponse, Request, Sanic
 
 from radishmux.clock import Clock
-from radishmux.config.model import Route, Service
 from radishmux.dispatch.exchange import CallerBodyError, RequestBody
 from radishmux.http import headers as names
 from radishmux.http._sanic import (
@@ -21,6 +17,7 @@
 from radishmux.http.bodies import answer_response, read_body, send_stream
 from radishmux.http.caller_request import CallerRequest
 from radishmux.http.headers import request_headers
+from radishmux.http.lookup_query import LookupQueries, lookup_route
 from radishmux.http.parts import KeyCheck
 from radishmux.http.refusals import not_run
 from radishmux.http.request_flow import RequestFlow
@@ -28,11 +25,6 @@
 from radishmux.telemetry.traces import Tracer
 from radishmux.verdict import Refusal
 
-# At most 1 MB of query strings.
-_KEPT_QUERIES = 4_096
-_MAX_KEPT_QUERY = 256
-_KEYED_LOOKUP = Route(name="lookup", idempotent=True)
-_PUBLIC_LOOKUP = Route(name="lookup", idempotent=True, open_to_all=True)
 # Refusals that say that the request itself is wrong.
 _INVALID = frozenset(
     (
@@ -93,6 +85,7 @@
         self._metrics = metrics
         self._tracer = tracer
         self._in_flight = 0
+        self._queries = LookupQueries()
         self._outcomes: dict[tuple[str, ...], Series] = {}
         self._durations: dict[tuple[str, str], Series] = {}
         self._lookups = metrics.series("lookups_total", outcome="served")
@@ -117,13 +110,13 @@
         return HTTPResponse(result, content_type="application/json")
 
     def _look_up(self, request: Request, now: float) -> bytes | Refusal:
-        query = lookup_query(request.query_string)
+        query = self._queries.parse(request.raw_url)
         name = query.service
         service = self._flow.service_named(name)
         if service is None:
             return not_run("unknown_service", "No such service.", 404)
         key = request.headers.get(names.KEY)
-        route = _lookup_route(service, key)
+        route = lookup_route(service, key)
         customer = self._keys.check(key, route, now)
         if isinstance(customer, Refusal):
             return customer
@@ -222,45 +215,3 @@
         traceparent,
         received_at,
     )
-
-
-class LookupQuery(msgspec.Struct, frozen=True):
-    """Arguments of a lookup."""
-
-    service: str
-    region: str | None
-    address: str | None
-
-
-def lookup_query(query_string: str) -> LookupQuery:
-    """Returns the arguments in the query of a URL.
-
-    Parsing takes a tenth of a lookup's processor time (bench/processes.py),
-    and callers repeat few queries. Long ones are not kept, which bounds the
-    memory that callers can take.
-    """
-    if len(query_string) > _MAX_KEPT_QUERY:
-        return _parse_query(query_string)
-    return _kept_query(query_string)
-
-
-def _parse_query(query_string: str) -> LookupQuery:
-    arguments = urllib.parse.parse_qs(query_string)
-    return LookupQuery(
-        arguments.get("service", [""])[0],
-        arguments.get("region", [None])[0],
-        arguments.get("address", [None])[0],
-    )
-
-
-_kept_query = functools.lru_cache(maxsize=_KEPT_QUERIES)(_parse_query)
-
-
-def _lookup_route(service: Service, key: str | None) -> Route:
-    """Returns a route whose key rules hold for lookups of a service.
-
-    A service with a public route can be looked up without a key.
-    """
-    if key is None and any(r.open_to_all for r in service.routes):
-        return _PUBLIC_LOOKUP
-    return _KEYED_LOOKUP
