Test that a write without an answer is completed

Cause: without the check of the revision that is read back, a write that never arrived was reported as Unknown, and no test failed. Change: each kind of lost answer, on an absent and on an existing document, must end in the accepted configuration.

--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -114,6 +114,18 @@
     assert [one.version for one in _decoded(store)] == [1, 2]
 
 
+@pytest.mark.parametrize("fault", ["dropped", "late", "lost"])
+async def test_write_without_an_answer_is_completed(fault: str):
+    """A change must not stay open when the store works again."""
+    store = FakeStore(["ok", fault])
+    writer = ConfigWriter(store, "a", _SteppingClock())
+    written = []
+    for name in ("r0", "r1"):
+        written.append(await writer.update(_add_region(name)))
+        store.faults = iter(["ok", fault])
+    assert _decoded(store) == written
+
+
 async def test_invalid_change_is_refused_before_any_write():
     store = FakeStore()
     bad = Customer(name="a", rate_per_s=-1, burst=2)
