Take dead borrowers' loans back sooner and surface errors in virtual time

The virtual fleet swallowed exceptions, so that a changed signature of ShareManager.admit looked like refusals.

Change: the manager looks for dead borrowers every 50 ms, and urgent loans last 0.35 s, so that a dead borrower's fraction is back 0.55 s after the proof. An exception in an instance's loop ends the run.

--- a/bench/virtual_fleet.py
+++ b/bench/virtual_fleet.py
@@ -228,8 +228,7 @@
         node = self.nodes[name]
 
         async def serve() -> None:
-            record = self.customers[customer]
-            done(await node.manager.admit(record, wait_s))
+            done(await node.manager.admit(customer, wait_s))
 
         if node.alive:
             node.start(serve())
--- a/bench/virtual_node.py
+++ b/bench/virtual_node.py
@@ -39,12 +39,17 @@
         super().__init__()
         self._virtual_time = time
         self._selector = _NoSelector()
-        self.set_exception_handler(lambda loop, context: None)
+        self.errors: list[BaseException] = []
+        self.set_exception_handler(self._note_error)
 
     def time(self) -> float:
         """Returns the virtual time."""
         return self._virtual_time()
 
+    def _note_error(self, loop: Any, context: dict[str, Any]) -> None:
+        if "exception" in context:
+            self.errors.append(context["exception"])
+
     def _process_events(self, event_list: list[Any]) -> None:
         pass
 
@@ -71,6 +76,8 @@
             self._run_once()
         finally:
             asyncio.events._set_running_loop(None)
+        if self.errors:
+            raise self.errors.pop()
 
 
 class NullMetrics:
--- a/src/radishmux/share/loans.py
+++ b/src/radishmux/share/loans.py
@@ -17,7 +17,7 @@
 LOAN_S = 2.0
 # Loans for requests that already wait. They are short, so that a fraction
 # borrowed for one token is soon back with the instance that needs its rate.
-URGENT_LOAN_S = 0.5
+URGENT_LOAN_S = 0.35
 MAX_LOAN_S = LOAN_S
 # Covers the difference in speed of the two clocks during one loan.
 CLOCK_MARGIN_S = 0.1
--- a/src/radishmux/share/manager.py
+++ b/src/radishmux/share/manager.py
@@ -18,6 +18,8 @@
 from radishmux.verdict import Refusal, Verdict
 
 PLAN_PERIOD_S = 0.25
+# Checks for dead borrowers; the customer's rate is short until they are seen.
+TICK_S = 0.05
 # Longest wait for a token.
 MAX_WAIT_S = 0.3
 # Requests per customer that may wait for a token at the same time.
@@ -269,17 +271,23 @@
         )
 
     async def _plan(self) -> None:
+        planned_at = -PLAN_PERIOD_S
         while True:
-            self._end_loans_to_the_dead()
-            asks, returns = self._book.plan(self._lenders(), self._clock.now())
-            for ask in asks:
-                self._start(self._send_ask(ask))
-            for back in returns:
-                self._start(self._send_return(back))
-            await asyncio.sleep(PLAN_PERIOD_S)
-
-    def _end_loans_to_the_dead(self) -> None:
-        now = self._clock.now()
+            now = self._clock.now()
+            self._end_loans_to_the_dead(now)
+            if now - planned_at >= PLAN_PERIOD_S:
+                planned_at = now
+                self._send_plan(now)
+            await asyncio.sleep(TICK_S)
+
+    def _send_plan(self, now: float) -> None:
+        asks, returns = self._book.plan(self._lenders(), now)
+        for ask in asks:
+            self._start(self._send_ask(ask))
+        for back in returns:
+            self._start(self._send_return(back))
+
+    def _end_loans_to_the_dead(self, now: float) -> None:
         for instance, incarnation in self._view.dead_processes():
             if self._ended.get(instance, 0) < incarnation:
                 self._ended[instance] = incarnation
