Use the old version while no stop can reach the instance

Cause: an instance cut off from the store and all peers kept its share of a version that the rest of the fleet had stopped. Result: before, 40 of 100 requests moved while cut off; after, none (tests/shift/test_counter.py, which fails without the guard). Without the new argument nothing changes.

--- a/src/radishmux/shift/chooser.py
+++ b/src/radishmux/shift/chooser.py
@@ -112,6 +112,7 @@
         self._moving: dict[str, _Moving] = {}
         self._stops: dict[tuple[str, str], Stop] = {}
         self._stop_watchers: list[Callable[[Stop], None]] = []
+        self._is_connected = True
         self.on_configuration(config.current)
         config.watch(self.on_configuration)
 
@@ -134,10 +135,22 @@
         moving = self._moving.get(service)
         if moving is None:
             return self._stable.get(service, "")
-        if moving.share_ppm and moving.decide(route):
+        if not moving.share_ppm:
+            return moving.record.from_version
+        if not self._is_connected and self._can_return(moving.record):
+            return moving.record.from_version
+        if moving.decide(route):
             return moving.record.to_version
         return moving.record.from_version
 
+    def set_connected(self, is_connected: bool) -> None:
+        """Says whether a stop found elsewhere would reach this instance.
+
+        While it would not, no request goes to a version that is being shifted,
+        if the old version still has backend servers.
+        """
+        self._is_connected = is_connected
+
     def observe(self, observation: Observation, now: float) -> Fault | None:
         """Takes the outcome of an attempt; stops the version on a fault."""
         moving = self._moving.get(observation.service)
@@ -275,8 +288,8 @@
         if shift.intent is ShiftIntent.TAKE_BACK:
             return 0
         stop = self._stops.get((record.service, record.to_version))
-        old_serves = (record.service, record.from_version) in self._served
-        if stop is not None and stop.step >= record.started and old_serves:
+        stopped = stop is not None and stop.step >= record.started
+        if stopped and self._can_return(record):
             return 0
         if (shift.service, shift.to_version) != (
             record.service,
@@ -285,6 +298,10 @@
             return 0
         return min(record.share_ppm, record.cap_ppm, to_ppm(shift.cap))
 
+    def _can_return(self, record: ShiftRecord) -> bool:
+        """Whether the old version has a backend server."""
+        return (record.service, record.from_version) in self._served
+
 
 def _precedence(record: ShiftRecord) -> tuple[bool, int]:
     """A shift in progress replaces a finished one, a later an earlier."""
--- a/src/radishmux/shift/sync.py
+++ b/src/radishmux/shift/sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
@@ -56,6 +57,15 @@
     """Keeps this instance's chooser in step with the fleet.
 
     A background part: an async context manager.
+
+    Args:
+        store: Holds the shifts document.
+        bus: Messages to and from peers.
+        config: The configuration in force.
+        chooser: The chooser of this instance.
+        metrics: Takes counters.
+        timeout_s: Of each store call.
+        is_connected: Whether this instance hears from the store or from peers.
     """
 
     def __init__(
@@ -67,7 +77,9 @@
         chooser: VersionChooser,
         metrics: MetricsSink,
         timeout_s: float = 1.0,
+        is_connected: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_connected = is_connected
         self._store = store
         self._bus = bus
         self._config = config
@@ -112,6 +124,7 @@
     async def _evidence_loop(self) -> None:
         while True:
             await asyncio.sleep(EVIDENCE_PERIOD_S)
+            self._chooser.set_connected(self._is_connected())
             for bundle in self._chooser.take_evidence():
                 await self._bus.broadcast(_to_message(bundle), PEER_TIMEOUT_S)
 
--- a/tests/shift/test_counter.py
+++ b/tests/shift/test_counter.py
@@ -96,3 +96,13 @@
     assert moved(chooser) == 0
     chooser.on_document(record(500_000, 8, started=8))
     assert moved(chooser) == 50
+
+
+def test_an_instance_that_no_stop_can_reach_uses_the_old_version():
+    """Fails when a partitioned instance goes on with its share."""
+    chooser = VersionChooser(FakeConfig(configuration(shifts=[shift()])))
+    chooser.on_document(record(400_000, 5))
+    chooser.set_connected(False)
+    assert moved(chooser) == 0
+    chooser.set_connected(True)
+    assert moved(chooser) == 40
