--- a/src/radishmux/shift/sync.py
+++ b/src/radishmux/shift/sync.py
@@ -17,9 +17,10 @@
 from radishmux.steer.selector import ConfigSource
 from radishmux.store.interface import Entry, Store
 
-# One read per instance and second while the configuration names a shift: 10
-# reads/s for 10 instances, which a store of 2,000 reads/s bears up to about
-# 1,000 instances. Larger fleets need one reader per region and a relay.
+# While the configuration names a shift, each instance reads this document and
+# the controller lease once a second: 20 reads/s for 10 instances, so that a
+# store of 2,000 reads/s bears about 1,000 instances. Larger fleets need one
+# reader per region and a relay.
 READ_PERIOD_S = 1.0
 EVIDENCE_PERIOD_S = 0.1
 # A stop that a peer has not acknowledged is sent again.
