--- a/src/radishmux/http/lookup_query.py
+++ b/src/radishmux/http/lookup_query.py
@@ -9,6 +9,8 @@
 # Callers repeat the same few queries; parsing one costs more than the rest of
 # the lookup.
 _MAX_KEPT = 10_000
+# Longer ones are parsed each time, so that callers cannot fill the memory.
+_MAX_KEPT_BYTES = 256
 
 _KEYED = Route(name="lookup", idempotent=True)
 _PUBLIC = Route(name="lookup", idempotent=True, open_to_all=True)
@@ -32,14 +34,19 @@
     def __init__(self) -> None:
         self._kept: dict[bytes, LookupQuery] = {}
 
+    def __len__(self) -> int:
+        return len(self._kept)
+
     def parse(self, url: bytes) -> LookupQuery:
         """Returns the arguments of a lookup's URL."""
         query = self._kept.get(url)
-        if query is None:
+        if query is not None:
+            return query
+        query = LookupQuery(url.partition(b"?")[2].decode("ascii", "replace"))
+        if len(url) <= _MAX_KEPT_BYTES:
             if len(self._kept) >= _MAX_KEPT:
                 self._kept.clear()
-            text = url.partition(b"?")[2].decode("ascii", "replace")
-            query = self._kept[url] = LookupQuery(text)
+            self._kept[url] = query
         return query
 
 
--- a/src/radishmux/shift/sync.py
+++ b/src/radishmux/shift/sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
@@ -16,9 +17,10 @@
 from radishmux.steer.selector import ConfigSource
 from radishmux.store.interface import Entry, Store
 
-# One read per instance and second while the configuration names a shift: 10
-# reads/s for 10 instances, which a store of 2,000 reads/s bears up to about
-# 1,000 instances. Larger fleets need one reader per region and a relay.
+# While the configuration names a shift, each instance reads this document and
+# the controller lease once a second: 20 reads/s for 10 instances, so that a
+# store of 2,000 reads/s bears about 1,000 instances. Larger fleets need one
+# reader per region and a relay.
 READ_PERIOD_S = 1.0
 EVIDENCE_PERIOD_S = 0.1
 # A stop that a peer has not acknowledged is sent again.
@@ -56,6 +58,15 @@
     """Keeps this instance's chooser in step with the fleet.
 
     A background part: an async context manager.
+
+    Args:
+        store: Holds the shifts document.
+        bus: Messages to and from peers.
+        config: The configuration in force.
+        chooser: The chooser of this instance.
+        metrics: Takes counters.
+        timeout_s: Of each store call.
+        is_connected: Whether this instance hears from the store or from peers.
     """
 
     def __init__(
@@ -67,7 +78,9 @@
         chooser: VersionChooser,
         metrics: MetricsSink,
         timeout_s: float = 1.0,
+        is_connected: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_connected = is_connected
         self._store = store
         self._bus = bus
         self._config = config
@@ -112,6 +125,7 @@
     async def _evidence_loop(self) -> None:
         while True:
             await asyncio.sleep(EVIDENCE_PERIOD_S)
+            self._chooser.set_connected(self._is_connected())
             for bundle in self._chooser.take_evidence():
                 await self._bus.broadcast(_to_message(bundle), PEER_TIMEOUT_S)
 
--- a/tests/test_lookup_query.py
+++ b/tests/test_lookup_query.py
@@ -4,25 +4,31 @@
 
 import urllib.parse
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishmux.http.caller_app import LookupQuery, lookup_query
+from radishmux.http.lookup_query import LookupQueries
 
 TEXT = st.text(min_size=1, max_size=80)
+QUERIES = LookupQueries()
 
 
+@settings(derandomize=True)
 @given(service=TEXT, region=st.none() | TEXT, address=st.none() | TEXT)
 def test_arguments_are_those_of_the_query(service, region, address):
     values = {"service": service, "region": region, "address": address}
     given_values = {name: one for name, one in values.items() if one}
-    query = urllib.parse.urlencode(given_values)
-    expected = LookupQuery(service, region, address)
-    assert lookup_query(query) == expected
-    assert lookup_query(query) == expected  # Now from the kept ones.
-
-
-def test_missing_arguments_and_long_queries():
-    assert lookup_query("") == LookupQuery("", None, None)
-    long = "service=" + "a" * 10_000
-    assert lookup_query(long).service == "a" * 10_000
+    url = f"/v1/lookup?{urllib.parse.urlencode(given_values)}".encode()
+    for _ in range(2):  # The second one may be a kept one.
+        query = QUERIES.parse(url)
+        assert query.service == service
+        assert (query.region, query.address) == (region, address)
+
+
+def test_long_queries_are_answered_but_not_kept():
+    queries = LookupQueries()
+    assert queries.parse(b"/v1/lookup").service == ""
+    kept = len(queries)
+    long = b"/v1/lookup?service=" + b"a" * 10_000
+    assert queries.parse(long).service == "a" * 10_000
+    assert len(queries) == kept
