Keep background loops running after an error; stop moved traffic when cut off

Cause: a step that raised ended its loop for good, with the instance still looking alive; an instance that is cut off kept the share of a version that others may have stopped; two modules summed region loads; a link's first request was refused, since its byte budget started empty. Change: tasks.repeat logs a failing step and runs it again (cell runtime, peer forwarder); ShiftSync is told whether the instance is connected; CellRegionLoads alone remains; an idle link starts with its burst.

--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -47,9 +47,9 @@
 from radishmux.status import StatusReporter
 from radishmux.steer.configured_blocks import ConfiguredBlocks
 from radishmux.steer.links import LinkBudgets, LinkLimitedRegions
+from radishmux.steer.loads import CellRegionLoads
 from radishmux.steer.lookup import TTL_S, Lookup
 from radishmux.steer.region import RegionChooser
-from radishmux.steer.region_loads import RegionLoadSum
 from radishmux.steer.selector import SelectorTable
 from radishmux.store.budget import BudgetedStore
 from radishmux.store.interface import Store, store_drivers
@@ -160,6 +160,11 @@
             + self._runtime.in_use
         )
 
+    def _is_connected(self) -> bool:
+        """Whether a stop of a version would be known here by now."""
+        now = self._clock.now()
+        return self._view.is_fresh(now) or self._view.store_out_for_all(now)
+
     async def _enter_control(self, stack: contextlib.AsyncExitStack) -> None:
         """Enters membership, store and configuration."""
         settings, clock, metrics = self._settings, self._clock, self._metrics
@@ -234,7 +239,7 @@
         )
         self._blocks = ConfiguredBlocks(self._config)
         self._cells = CellMap(self._config, self._view)
-        loads = RegionLoadSum(self._cells, self._view)
+        loads = CellRegionLoads(self._cells, self._view)
         self._links = LinkBudgets(
             own.region, self._config, self._view, clock.now()
         )
@@ -285,7 +290,7 @@
         )
 
     async def _enter_shifts(
-        self, stack: contextlib.AsyncExitStack, loads: RegionLoadSum
+        self, stack: contextlib.AsyncExitStack, loads: CellRegionLoads
     ) -> None:
         """Enters the spread of shift steps and the controller."""
         await stack.enter_async_context(
@@ -295,6 +300,7 @@
                 config=self._config,
                 chooser=self._chooser,
                 metrics=self._metrics,
+                is_connected=self._is_connected,
             )
         )
         await stack.enter_async_context(
--- a/src/radishmux/dispatch/cell_runtime.py
+++ b/src/radishmux/dispatch/cell_runtime.py
@@ -22,6 +22,7 @@
 from radishmux.dispatch.silence import SilenceWatch
 from radishmux.membership.cell_loads import CellLoad
 from radishmux.peer.messages import CrashReport, Release
+from radishmux.tasks import repeat
 from radishmux.telemetry.metrics import Metrics
 
 UPDATE_PERIOD_S = 0.05
@@ -73,7 +74,7 @@
 
     async def __aenter__(self) -> CellRuntime:
         self.update()
-        self._start(self._run())
+        self._start(repeat(self._step, UPDATE_PERIOD_S, "cell runtime"))
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -213,14 +214,12 @@
         self._metrics.set("slots_in_use", pool.in_use, **labels)
         self._metrics.set("queued", pool.queued, **labels)
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(UPDATE_PERIOD_S)
-            self.update()
-            for connections in self._watch.due(self._clock.now()):
-                self._start(self._probe_silent(connections))
-            for connections in list(self._connections.values()):
-                await connections.prune()
+    async def _step(self) -> None:
+        self.update()
+        for connections in self._watch.due(self._clock.now()):
+            self._start(self._probe_silent(connections))
+        for connections in list(self._connections.values()):
+            await connections.prune()
 
     async def _probe_silent(self, connections: Connections) -> None:
         if not await answers(connections.address, "/health"):
--- a/src/radishmux/http/forwarder.py
+++ b/src/radishmux/http/forwarder.py
@@ -17,6 +17,7 @@
 from radishmux.http.headers import answer_headers
 from radishmux.http.refusals import decode, may_have_run, not_run
 from radishmux.instances.interface import Instance
+from radishmux.tasks import repeat
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Refusal, Verdict
 
@@ -44,7 +45,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> PeerForwarder:
-        self._start(self._sweep())
+        self._start(repeat(self._sweep, _SWEEP_PERIOD_S, "peer forwarder"))
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -117,12 +118,10 @@
         return _result(exchange, received)
 
     async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(_SWEEP_PERIOD_S)
-            for connections in self._watch.due(self._clock.now()):
-                self._start(self._probe(connections))
-            for connections in self._peers.values():
-                await connections.prune()
+        for connections in self._watch.due(self._clock.now()):
+            self._start(self._probe(connections))
+        for connections in list(self._peers.values()):
+            await connections.prune()
 
     async def _probe(self, connections: Connections) -> None:
         if not await answers(connections.address, "/healthz"):
--- a/src/radishmux/steer/links.py
+++ b/src/radishmux/steer/links.py
@@ -48,6 +48,8 @@
     def set_rate(self, bytes_per_s: float, now: float) -> None:
         """Sets the rate; a lower one also cuts what was saved up."""
         self._refill(now)
+        if not self._rate:  # A link that was idle so far can take the burst.
+            self._bytes = bytes_per_s * BURST_S
         self._rate = bytes_per_s
         self._bytes = min(self._bytes, bytes_per_s * BURST_S)
 
--- a/src/radishmux/tasks.py
+++ b/src/radishmux/tasks.py
@@ -1,32 +1,31 @@
-"""Background tasks whose failure is seen."""
+"""Background loops that outlive a failing step."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 from loguru import logger
 
 
-def start_task(work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
-    """Starts a task that logs the exception that ends it.
+async def repeat(
+    step: Callable[[], Awaitable[object]], period_s: float, name: str
+) -> None:
+    """Runs a step for ever, with a pause after each run.
 
-    The event loop reports such an exception only when the task object is
-    freed, which does not happen while its owner keeps it.
+    A step that fails is logged and run again after the pause. A loop that
+    ended instead would leave an instance that looks alive while a part of it
+    has stopped, and the event loop reports the exception only when the task
+    object is freed.
 
     Args:
-        work: What the task runs.
-        name: Appears in the log line.
+        step: What to run.
+        period_s: Pause between two runs, in seconds.
+        name: Part that the step belongs to, for the log line.
     """
-    task = asyncio.create_task(work, name=name)
-    task.add_done_callback(_log_failure)
-    return task
-
-
-def _log_failure(task: asyncio.Task[Any]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        logger.opt(exception=error).error("task {} failed", task.get_name())
+    while True:
+        try:
+            await step()
+        except Exception:
+            logger.exception("{} failed", name)
+        await asyncio.sleep(period_s)
