--- a/tests/test_share_invariant.py
+++ b/tests/test_share_invariant.py
@@ -278,6 +278,12 @@
         ("skew", 1, 0.0, 9.0),
         ("freeze", 1, 1.5, 4.0),
     ],
+    # Loans end, shrink and are lent on all the time.
+    "demand moves between instances": [
+        ("skew", 0, 0.0, 9.0),
+        ("skew", 1, 0.0, 9.0),
+        ("skew", 2, 0.0, 4.0),
+    ],
     "store responses lost": [
         ("lossy", 4, 0.0, 4.0),
         ("kill", 3, 2.5, 9.0),
