--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -45,10 +45,11 @@
 from radishmux.shift.detector import Detector
 from radishmux.shift.sync import ShiftSync
 from radishmux.status import StatusReporter
+from radishmux.steer.configured_blocks import ConfiguredBlocks
 from radishmux.steer.links import LinkBudgets, LinkLimitedRegions
+from radishmux.steer.loads import CellRegionLoads
 from radishmux.steer.lookup import TTL_S, Lookup
 from radishmux.steer.region import RegionChooser
-from radishmux.steer.region_loads import RegionLoadSum
 from radishmux.steer.selector import SelectorTable
 from radishmux.store.budget import BudgetedStore
 from radishmux.store.interface import Store, store_drivers
@@ -63,16 +64,6 @@
 _DRAIN_POLL_S = 0.05
 
 
-class NoBlocks:
-    """Stands for a table of client blocks while none is configured."""
-
-    __slots__ = ()
-
-    def region_of(self, address: str) -> str | None:
-        """Returns None: the region of an address is not known."""
-        return None
-
-
 class App:
     """All parts of one daemon; an async context manager.
 
@@ -169,6 +160,11 @@
             + self._runtime.in_use
         )
 
+    def _is_connected(self) -> bool:
+        """Whether a stop of a version would be known here by now."""
+        now = self._clock.now()
+        return self._view.is_fresh(now) or self._view.store_out_for_all(now)
+
     async def _enter_control(self, stack: contextlib.AsyncExitStack) -> None:
         """Enters membership, store and configuration."""
         settings, clock, metrics = self._settings, self._clock, self._metrics
@@ -241,9 +237,9 @@
         self._lookup = Lookup(
             own.region, self._config, self._selectors, self._view, self._tickets
         )
-        self._blocks = NoBlocks()
+        self._blocks = ConfiguredBlocks(self._config)
         self._cells = CellMap(self._config, self._view)
-        loads = RegionLoadSum(self._cells, self._view)
+        loads = CellRegionLoads(self._cells, self._view)
         self._links = LinkBudgets(
             own.region, self._config, self._view, clock.now()
         )
@@ -294,7 +290,7 @@
         )
 
     async def _enter_shifts(
-        self, stack: contextlib.AsyncExitStack, loads: RegionLoadSum
+        self, stack: contextlib.AsyncExitStack, loads: CellRegionLoads
     ) -> None:
         """Enters the spread of shift steps and the controller."""
         await stack.enter_async_context(
@@ -304,6 +300,7 @@
                 config=self._config,
                 chooser=self._chooser,
                 metrics=self._metrics,
+                is_connected=self._is_connected,
             )
         )
         await stack.enter_async_context(
