--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -161,6 +162,9 @@
         self.instances: list[InstancePlan] = []
 
     def __enter__(self) -> Fleet:
+        if threading.current_thread() is threading.main_thread():
+            # The default action would leave the processes running.
+            signal.signal(signal.SIGTERM, _exit_on_signal)
         return self
 
     def __exit__(self, *exc: object) -> None:
@@ -287,6 +291,10 @@
         return path
 
 
+def _exit_on_signal(number: int, frame: object) -> None:
+    sys.exit(128 + number)
+
+
 def plan_instances(
     regions: Sequence[Region], per_region: int
 ) -> list[InstancePlan]:
