--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -203,6 +203,33 @@
         self.store = store.listening()
         self._instance_list = instance_list.listening()
 
+    def start_backend_servers(
+        self, configuration: Configuration
+    ) -> list[Process]:
+        """Starts a stand-in for each backend server and waits for them."""
+        processes = [
+            self.start(
+                server.name,
+                *("standins.backend_server", "--listen", server.address),
+                *("--name", server.name, "--service", server.service),
+                *("--version", server.version, "--slots", str(server.slots)),
+            )
+            for server in configuration.backend_servers
+        ]
+        for process in processes:
+            process.listening()
+        return processes
+
+    def start_all(self, configuration: Configuration, per_region: int) -> None:
+        """Starts everything for a configuration and waits until ready."""
+        plans = plan_instances(configuration.regions, per_region)
+        self.start_platform(plans)
+        self.start_backend_servers(configuration)
+        path = self.write("configuration.json", configuration)
+        self.radishctl("config", "put", str(path))
+        self.start_daemons()
+        self.wait_ready()
+
     def start_daemons(self, sample_ratio: float = 0.01) -> None:
         """Starts radishmuxd for each planned instance."""
         for plan in self.instances:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -25,7 +25,6 @@
     Fleet,
     FleetError,
     InstancePlan,
-    Process,
     free_addresses,
     load_configuration,
     plan_instances,
@@ -81,22 +80,6 @@
     return replace(configuration, backend_servers=servers)
 
 
-def start_servers(fleet: Fleet, configuration: Configuration) -> list[Process]:
-    """Starts a stand-in for each backend server."""
-    processes = [
-        fleet.start(
-            server.name,
-            *("standins.backend_server", "--listen", server.address),
-            *("--name", server.name, "--service", server.service),
-            *("--version", server.version, "--slots", str(server.slots)),
-        )
-        for server in configuration.backend_servers
-    ]
-    for process in processes:
-        process.listening()
-    return processes
-
-
 async def traced_request(
     kind: Kind, entry: InstancePlan, instances: Sequence[InstancePlan]
 ) -> list[dict[str, Any]]:
@@ -230,7 +213,7 @@
     with Fleet(_STOP_S) as fleet:
         plans = plan_instances(configuration.regions, _INSTANCES_PER_REGION)
         fleet.start_platform(plans)
-        servers = start_servers(fleet, configuration)
+        servers = fleet.start_backend_servers(configuration)
         path = fleet.write(f"{user}.json", configuration)
         fleet.radishctl("config", "put", str(path))
         fleet.start_daemons()
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -13,7 +13,7 @@
 import os
 import signal
 
-from bench.fleet import Fleet, free_addresses, get_json, plan_instances
+from bench.fleet import Fleet, free_addresses, get_json
 from radishmux.config.model import (
     BackendServer,
     Configuration,
@@ -103,22 +103,10 @@
     print(f"seed {SEED}")
     configuration = _configuration()
     with Fleet(stop_s=1.0) as fleet:
-        plans = plan_instances(configuration.regions, 2)
-        fleet.start_platform(plans)
-        for server in configuration.backend_servers:
-            fleet.start(
-                server.name,
-                *("standins.backend_server", "--listen", server.address),
-                *("--name", server.name, "--service", SERVICE),
-                *("--version", "v1", "--slots", str(server.slots)),
-            ).listening()
-        path = fleet.write("fleet.json", configuration)
-        fleet.radishctl("config", "put", str(path))
-        fleet.start_daemons()
-        fleet.wait_ready()
+        fleet.start_all(configuration, per_region=2)
         for server in configuration.backend_servers:
             fleet.control(server.address, latency_s=RUN_S)
-        callers = Callers(plans, SEED)
+        callers = Callers(fleet.instances, SEED)
 
         async def run() -> None:
             await asyncio.gather(
--- a/tests/test_fleet_shift.py
+++ b/tests/test_fleet_shift.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from bench.fleet import Fleet, free_addresses, get_json, plan_instances
+from bench.fleet import Fleet, free_addresses, get_json
 from radishmux.config.model import (
     BackendServer,
     Configuration,
@@ -104,19 +104,7 @@
 def test_a_bad_version_is_taken_back_and_reported():
     configuration = _configuration()
     with Fleet(stop_s=1.0) as fleet:
-        plans = plan_instances(configuration.regions, 2)
-        fleet.start_platform(plans)
-        for server in configuration.backend_servers:
-            fleet.start(
-                server.name,
-                *("standins.backend_server", "--listen", server.address),
-                *("--name", server.name, "--service", "poles"),
-                *("--version", server.version, "--slots", "4"),
-            ).listening()
-        path = fleet.write("fleet.json", configuration)
-        fleet.radishctl("config", "put", str(path))
-        fleet.start_daemons()
-        fleet.wait_ready()
+        fleet.start_all(configuration, per_region=2)
         for server in configuration.backend_servers:
             error_rate = 0.5 if server.version == "v2" else 0.0
             fleet.control(server.address, error_rate=error_rate)
--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -11,7 +11,6 @@
 import os
 import signal
 import time
-import urllib.request
 
 import msgspec
 
@@ -96,13 +95,6 @@
     asyncio.run(write())
 
 
-def _hold_watches(store: str) -> None:
-    request = urllib.request.Request(
-        f"http://{store}/control", data=b'{"hold_watches": true}'
-    )
-    urllib.request.urlopen(request, timeout=_TIMEOUT_S).close()
-
-
 def _until(callers: list[_Caller], key: str, status: int, ends: float) -> None:
     while any(caller.ask(key) != status for caller in callers):
         assert time.monotonic() < ends
@@ -120,7 +112,7 @@
 
         # Without this the frozen instance would find the new version in a
         # socket's buffer when it goes on, before it looks at the request.
-        _hold_watches(fleet.store)
+        fleet.control(fleet.store, hold_watches=True)
         frozen, *others = callers
         pid = fleet.daemon(fleet.instances[0].instance).pid
         os.kill(pid, signal.SIGSTOP)
