Refuse lookups at an instance that is about to stop

Cause: a leaving instance went on answering lookups with tickets of its own, which callers keep for 10 s; those taken after SIGTERM outlived it, and their requests ended as may_have_run. Change: while leaving, lookups and requests without an id are refused as leaving, with other instances to ask.

--- a/src/radishmux/http/caller_app.py
+++ b/src/radishmux/http/caller_app.py
@@ -110,6 +110,9 @@
         return HTTPResponse(result, content_type="application/json")
 
     def _look_up(self, request: Request, now: float) -> bytes | Refusal:
+        leaving = self._flow.refusal_while_leaving()
+        if leaving is not None:
+            return leaving
         query = self._queries.parse(request.raw_url)
         name = query.service
         service = self._flow.service_named(name)
--- a/src/radishmux/http/refusals.py
+++ b/src/radishmux/http/refusals.py
@@ -22,6 +22,7 @@
     message: str,
     status: int = 503,
     retry_after_s: float | None = None,
+    next_instances: tuple[str, ...] = (),
 ) -> Refusal:
     """Returns a refusal of a request that did not run."""
     return Refusal(
@@ -30,6 +31,7 @@
         message=message,
         status=status,
         retry_after_s=retry_after_s,
+        next_instances=next_instances,
     )
 
 
--- a/src/radishmux/http/request_flow.py
+++ b/src/radishmux/http/request_flow.py
@@ -49,6 +49,7 @@
 
 # Time that a request may wait for a loan of its customer's rate.
 RATE_WAIT_S = 0.3
+MAX_NEXT_INSTANCES = 3
 # A cell changes its dispatcher within the takeover delay of 2 s.
 HANDOVER_S = 2.5
 _HANDOVER_POLL_S = 0.05
@@ -198,6 +199,9 @@
                 return refusal
             return await self._steer(exchange)
         if not exchange.request_id:
+            leaving = self.refusal_while_leaving()
+            if leaving is not None:
+                return leaving
             return TicketRefusal(
                 verdict=Verdict.NOT_RUN,
                 reason="request_id_required",
@@ -218,6 +222,26 @@
             exchange, instance, owner.incarnation
         )
 
+    def refusal_while_leaving(self) -> Refusal | None:
+        """Returns a refusal for those who need a new ticket.
+
+        Callers keep a ticket as long as a lookup. One that a leaving instance
+        issued would outlive it, and its requests would end as "may have run".
+        """
+        if not self._members.is_leaving(self._instance):
+            return None
+        others = [
+            instance.caller_address
+            for instance in self._members.live()
+            if not self._members.is_leaving(instance.instance)
+        ]
+        return not_run(
+            "leaving",
+            "This instance is about to stop; ask another one.",
+            retry_after_s=0.0,
+            next_instances=tuple(others[:MAX_NEXT_INSTANCES]),
+        )
+
     def _owner(self, name: str) -> Instance | None:
         if name == self._instance:
             return None  # An earlier incarnation of this instance.
