Name the HTTP server module without an underscore

Cause: app.py builds SanicServer, so its module is not private to the package. Change: http/_sanic.py is http/server.py.

--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -21,13 +21,13 @@
 from radishmux.dispatch.observer import Observer
 from radishmux.dispatch.silence import SilenceWatch
 from radishmux.dispatch.versions import Versions
-from radishmux.http._sanic import SanicServer
 from radishmux.http.admin_app import AdminApp
 from radishmux.http.caller_app import CallerApp
 from radishmux.http.forwarder import PeerForwarder
 from radishmux.http.metered_forwarder import MeteredForwarder
 from radishmux.http.peer_app import PeerApp
 from radishmux.http.request_flow import RequestFlow
+from radishmux.http.server import SanicServer
 from radishmux.instances.interface import Instance, instance_list_drivers
 from radishmux.keys.check import KeyCheck
 from radishmux.membership.heartbeats import Heartbeats
--- a/src/radishmux/http/admin_app.py
+++ b/src/radishmux/http/admin_app.py
@@ -8,7 +8,7 @@
 import msgspec
 from sanic import HTTPResponse, Request, Sanic
 
-from radishmux.http._sanic import new_app
+from radishmux.http.server import new_app
 from radishmux.telemetry.metrics import Metrics
 from radishmux.telemetry.traces import Tracer
 
--- a/src/radishmux/http/bodies.py
+++ b/src/radishmux/http/bodies.py
@@ -17,7 +17,7 @@
     RequestBody,
 )
 from radishmux.http import headers as names
-from radishmux.http._sanic import MAX_BODY_BYTES
+from radishmux.http.server import MAX_BODY_BYTES
 
 # Longest time without a byte of the body.
 IDLE_S = 10.0
--- a/src/radishmux/http/caller_app.py
+++ b/src/radishmux/http/caller_app.py
@@ -9,11 +9,6 @@
 from radishmux.clock import Clock
 from radishmux.dispatch.exchange import CallerBodyError, RequestBody
 from radishmux.http import headers as names
-from radishmux.http._sanic import (
-    add_request_routes,
-    new_app,
-    refusal_response,
-)
 from radishmux.http.bodies import answer_response, read_body, send_stream
 from radishmux.http.caller_request import CallerRequest
 from radishmux.http.headers import request_headers
@@ -21,6 +16,11 @@
 from radishmux.http.parts import KeyCheck
 from radishmux.http.refusals import not_run
 from radishmux.http.request_flow import RequestFlow
+from radishmux.http.server import (
+    add_request_routes,
+    new_app,
+    refusal_response,
+)
 from radishmux.telemetry.metrics import Metrics, Series
 from radishmux.telemetry.traces import Tracer
 from radishmux.verdict import Refusal
--- a/src/radishmux/http/peer_app.py
+++ b/src/radishmux/http/peer_app.py
@@ -17,16 +17,16 @@
     RequestBody,
 )
 from radishmux.http import headers as names
-from radishmux.http._sanic import (
-    add_request_routes,
-    new_app,
-    refusal_response,
-)
 from radishmux.http.bodies import answer_response, read_body, send_stream
 from radishmux.http.forwarder import DISPATCHER, OWNER
 from radishmux.http.headers import request_headers
 from radishmux.http.refusals import may_have_run, not_run
 from radishmux.http.request_flow import RequestFlow
+from radishmux.http.server import (
+    add_request_routes,
+    new_app,
+    refusal_response,
+)
 from radishmux.http.targets import split_target
 from radishmux.telemetry.metrics import Metrics
 from radishmux.telemetry.traces import Tracer
--- a/tests/request_node.py
+++ b/tests/request_node.py
@@ -11,12 +11,12 @@
 from radishmux.dispatch.observer import Observer
 from radishmux.dispatch.silence import SilenceWatch
 from radishmux.dispatch.versions import Versions
-from radishmux.http._sanic import SanicServer
 from radishmux.http.admin_app import AdminApp
 from radishmux.http.caller_app import CallerApp
 from radishmux.http.forwarder import PeerForwarder
 from radishmux.http.peer_app import PeerApp
 from radishmux.http.request_flow import RequestFlow
+from radishmux.http.server import SanicServer
 from radishmux.peer.messages import CrashReport, Release
 from tests.request_parts import (
     KEY,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,7 +10,8 @@
 import aiohttp
 import pytest
 
-from radishmux.http import _sanic, bodies
+from radishmux.http import bodies
+from radishmux.http import server as http_server
 from tests.request_node import Node, headers, running
 from tests.request_parts import KEY, Parts
 
@@ -135,7 +136,7 @@
 
 async def test_a_caller_that_sends_its_header_byte_by_byte(node, monkeypatch):
     """Guards against slow callers that hold connections for ever."""
-    monkeypatch.setattr(_sanic, "HEADER_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(http_server, "HEADER_TIMEOUT_S", 0.5)
     pieces = [bytes([one]) for one in _request("X-Long: " + "x" * 900)]
     answer = await _send(node, *pieces, pause_s=0.02)
     assert answer.status == 408
