Give the heartbeat test ports that no outgoing connection can take

Cause: one of five full runs failed in tests/test_heartbeat_processes.py with 'address already in use': the test asked the system for an ephemeral port, which another test's connection took before the member listened on it. Change: the test and bench/heartbeat_cost.py use free_addresses of bench.fleet, whose ports lie below the ephemeral ones; no check is changed. The assertion that an unknown service has no route, dropped when two route tables became one, is back. Two benchmarks share their command line.

--- a/bench/heartbeat_cost.py
+++ b/bench/heartbeat_cost.py
@@ -13,12 +13,12 @@
 import contextlib
 import json
 import pathlib
-import socket
 import time
 
 import uvloop
 from loguru import logger
 
+from bench.fleet import free_addresses
 from bench.virtual_node import NullMetrics
 from radishmux.clock import SystemClock
 from radishmux.instances.interface import Instance
@@ -45,16 +45,6 @@
         return self._instances
 
 
-def _free_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
-    for found in sockets:
-        found.close()
-    return addresses
-
-
 def _instances(count: int) -> tuple[Instance, ...]:
     return tuple(
         Instance(
@@ -65,7 +55,7 @@
             peer_address=address,
             control_address=address,
         )
-        for index, address in enumerate(_free_addresses(count))
+        for index, address in enumerate(free_addresses(count))
     )
 
 
--- a/bench/messages.py
+++ b/bench/messages.py
@@ -6,9 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
-import json
-import pathlib
 import statistics
 import time
 from collections.abc import Callable
@@ -16,6 +13,7 @@
 
 from msgspec.structs import replace
 
+from bench import json_report
 from bench.fleet import load_configuration
 from radishmux.config.document import (
     StoredDocument,
@@ -197,13 +195,7 @@
 
 def main() -> None:
     """Runs the benchmark from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", type=pathlib.Path)
-    arguments = parser.parse_args()
-    text = json.dumps(measure(), indent=1) + "\n"
-    print(text, end="")
-    if arguments.json is not None:
-        arguments.json.write_text(text)
+    json_report.run(measure, __doc__)
 
 
 if __name__ == "__main__":
--- a/bench/telemetry.py
+++ b/bench/telemetry.py
@@ -5,13 +5,11 @@
 
 from __future__ import annotations
 
-import argparse
-import json
-import pathlib
 import statistics
 import time
 from collections.abc import Callable
 
+from bench import json_report
 from radishmux.telemetry.metrics import Metrics
 from radishmux.telemetry.traces import Tracer
 
@@ -61,13 +59,7 @@
 
 def main() -> None:
     """Runs the benchmark from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", type=pathlib.Path)
-    arguments = parser.parse_args()
-    text = json.dumps(measure(), indent=1) + "\n"
-    print(text, end="")
-    if arguments.json is not None:
-        arguments.json.write_text(text)
+    json_report.run(measure, __doc__)
 
 
 if __name__ == "__main__":
--- a/tests/test_config_validation.py
+++ b/tests/test_config_validation.py
@@ -166,6 +166,11 @@
     assert (found.name if found else None) == route
 
 
+def test_a_service_that_is_not_configured_has_no_route():
+    table = RouteTable(_configuration())
+    assert table.route(split_target("/valves/"), "GET") is None
+
+
 def test_index_finds_servers_versions_and_customers():
     index = ConfigIndex(_configuration())
     assert [s.name for s in index.servers("poles", "accra")] == [
--- a/tests/test_heartbeat_processes.py
+++ b/tests/test_heartbeat_processes.py
@@ -8,19 +8,14 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
+from bench.fleet import free_addresses
+
 ROOT = pathlib.Path(__file__).parent.parent
 PATIENCE_S = 20.0
 
 
-def free_address():
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{found.getsockname()[1]}"
-
-
 class Member:
     """One process and its reports."""
 
@@ -50,7 +45,7 @@
     path = os.pathsep.join((str(ROOT / "src"), str(ROOT)))
     try:
         for name in names:
-            address = free_address()
+            (address,) = free_addresses(1)
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "tests" / "heartbeat_process.py"),
