Start each object at one server of the fleet and move it nearer

Change: homes of the fleet, the region and the domain, with moves bounded by a rate; times learned from servers known to be warm; cost of missing the target latency; a bounded spill between regions; directory names one domain. No tests of the new parts yet; the suite was not run on this commit.

--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from radishmux.config.routing import RoutingConfiguration
@@ -79,7 +79,7 @@
         """Calls back with each event after it took effect."""
         self._watchers.append(callback)
 
-    def usable(self, service: str, regions: frozenset[str]) -> Iterable[Server]:
+    def usable(self, service: str, regions: frozenset[str]) -> list[Server]:
         """Returns the servers of a service that may get requests.
 
         Args:
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -191,14 +191,25 @@
         key = None
         if route.affinity and journey.call.affinity is not None:
             key = object_key(route.name, journey.call.affinity)
-        demand = Demand(journey.service, route.name, key, journey.regions)
-        servers = [
-            server
-            for server in self._state.usable(journey.service, journey.regions)
-            if server.name not in journey.attempts
-            and self._sender.may_send(server, now)
-        ]
-        return self._placement.choose(demand, servers, now)
+        target_s = journey.call.received_at + route.target_latency_s - now
+        demand = Demand(
+            journey.service,
+            route.name,
+            key,
+            journey.regions,
+            len(journey.call.body),
+            max(0.0, target_s),
+        )
+        servers = self._state.usable(journey.service, journey.regions)
+        return self._placement.choose(
+            demand,
+            servers,
+            lambda server: (
+                server.name not in journey.attempts
+                and self._sender.may_send(server, now)
+            ),
+            now,
+        )
 
     async def _attempt(
         self, journey: Journey, choice: Choice
@@ -232,7 +243,12 @@
     ) -> float:
         if not journey.route.kind.repeatable or not self._has_attempt(journey):
             return journey.deadline
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_FACTOR * choice.expected_s)
+        cold_s = self._placement.work_times(
+            journey.service, journey.route.name
+        ).cold_s
+        patience_s = max(
+            MIN_PATIENCE_S, PATIENCE_FACTOR * max(cold_s, choice.expected_s)
+        )
         latest = now + MAX_PATIENCE_SHARE * (journey.deadline - now)
         return min(latest, now + patience_s)
 
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -15,7 +15,7 @@
 from radishmux.gateway.call import Call, Dialect, RunReport
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.steer.cold_pace import ColdPaces
-from radishmux.steer.placement import Choice, Demand, Placement, object_key
+from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.servers import Server
 from radishmux.verdict import Verdict
 
@@ -211,12 +211,16 @@
             key,
             now,
         )
+        if choice.is_queued:
+            return
         travel_s = self._placement.round_trip_s(choice.server)
-        demand = Demand(
-            choice.server.entry.service, route.name, key, frozenset()
+        work = self._placement.work_times(
+            choice.server.entry.service, route.name
         )
-        self._placement.work_times(demand).note(
-            max(0.001, duration_s - travel_s), choice.is_warm
+        work.note(
+            max(0.001, duration_s - travel_s),
+            choice.known_warm,
+            choice.is_home,
         )
 
     async def close(self) -> None:
--- a/src/radishmux/steer/directory.py
+++ b/src/radishmux/steer/directory.py
@@ -30,8 +30,4 @@
     in_domain = [
         one for one in in_region if one.failure_domain == failure_domain
     ]
-    # With a single instance in the domain, callers would have none to turn to
-    # when it dies before their answer expires.
-    if len(in_domain) > 1:
-        return in_domain
-    return in_region or known
+    return in_domain or in_region or known
--- /dev/null
+++ b/src/radishmux/steer/object_places.py
@@ -0,0 +1,171 @@
+"""Which server handles each object for one instance; pure.
+
+All instances start with the same server for an object, the first one in the
+order of a hash over the whole fleet, so that one slow first request warms it
+for all. An instance then moves the objects that it uses often nearer: to the
+first server of its region, and then of its failure domain. Each move costs one
+slow request and saves the distance from then on. Moves between regions are
+bounded by a rate.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import xxhash
+
+from radishmux.steer.move_budget import MoveBudget
+from radishmux.steer.servers import Server
+
+# Requests of this instance for an object before it is moved nearer. A slow
+# first request costs about as much as the distance of this many requests.
+MOVES_AFTER = {"region": 4, "domain": 8}
+# Bodies of this size double the worth of being near.
+BODY_SCALE_BYTES = 8_192
+MAX_OBJECTS = 8_192
+
+
+class Level(enum.IntEnum):
+    """How near an object's server is."""
+
+    FLEET = 0
+    REGION = 1
+    DOMAIN = 2
+
+
+class Homes:
+    """The first servers in an object's order.
+
+    Attributes:
+        by_level: First of the fleet, of this region and of this domain; a
+            missing one is the next wider one.
+        ranks: Place of each server in the order of the whole fleet.
+    """
+
+    __slots__ = ("by_level", "ranks")
+
+    def __init__(
+        self, by_level: tuple[Server, Server, Server], ranks: dict[str, int]
+    ) -> None:
+        self.by_level = by_level
+        self.ranks = ranks
+
+
+class ObjectPlace:
+    """Where one object is handled for this instance.
+
+    Attributes:
+        homes: Its first servers.
+        servers: The servers that the homes were chosen from.
+        level: How near it has been moved.
+        requests: Requests of this instance for it at that level.
+    """
+
+    __slots__ = ("homes", "level", "requests", "servers")
+
+    def __init__(self, homes: Homes, servers: Sequence[Server]) -> None:
+        self.homes = homes
+        self.servers = servers
+        self.level = Level.FLEET
+        self.requests = 0
+
+    @property
+    def home(self) -> Server:
+        """The server at the level that the object has been moved to."""
+        return self.homes.by_level[self.level]
+
+    def is_home(self, server: Server) -> bool:
+        """Whether a server is a home at the level reached or a wider one."""
+        return any(
+            server is one for one in self.homes.by_level[: self.level + 1]
+        )
+
+
+class ObjectPlaces:
+    """Places of the objects of one service.
+
+    Args:
+        region: Region of this instance.
+        failure_domain: Failure domain of this instance.
+        now: Monotonic seconds.
+    """
+
+    def __init__(self, region: str, failure_domain: str, now: float) -> None:
+        self._region = region
+        self._failure_domain = failure_domain
+        self._places: OrderedDict[int, ObjectPlace] = OrderedDict()
+        self._moves = MoveBudget(now)
+
+    def place(self, key: int, servers: Sequence[Server]) -> ObjectPlace:
+        """Returns the place of an object.
+
+        Args:
+            key: Hash of the object.
+            servers: All servers that may handle it; not empty.
+        """
+        place = self._places.get(key)
+        if place is None:
+            place = ObjectPlace(self._homes(key, servers), servers)
+            self._places[key] = place
+            if len(self._places) > MAX_OBJECTS:
+                self._places.popitem(last=False)
+        elif place.servers is not servers and place.servers != servers:
+            place.homes = self._homes(key, servers)
+            place.servers = servers
+        return place
+
+    def note(self, place: ObjectPlace, body_bytes: int, now: float) -> bool:
+        """Counts a request and moves its object nearer when that is due.
+
+        Returns:
+            Whether the object was moved.
+        """
+        place.requests += 1
+        target = self._next_level(place)
+        if target is None:
+            return False
+        after = MOVES_AFTER[target.name.lower()]
+        if place.requests * (1 + body_bytes / BODY_SCALE_BYTES) < after:
+            return False
+        crosses = place.home.region != place.homes.by_level[target].region
+        part = 1.0 / max(1, len(self._places))
+        if crosses and not self._moves.take(part, now):
+            return False
+        place.level = target
+        place.requests = 0
+        return True
+
+    def _next_level(self, place: ObjectPlace) -> Level | None:
+        """Returns the next nearer level that has another server."""
+        for level in Level:
+            if (
+                level > place.level
+                and place.homes.by_level[level] is not place.home
+            ):
+                return level
+        return None
+
+    def _homes(self, key: int, servers: Sequence[Server]) -> Homes:
+        ordered = sorted(
+            servers,
+            key=lambda one: xxhash.xxh3_64_intdigest(
+                one.name.encode(), seed=key
+            ),
+            reverse=True,
+        )
+        ranks = {server.name: rank for rank, server in enumerate(ordered)}
+        first = ordered[0]
+        in_region = next(
+            (one for one in ordered if one.region == self._region), first
+        )
+        in_domain = next(
+            (
+                one
+                for one in ordered
+                if one.entry.failure_domain == self._failure_domain
+            ),
+            in_region,
+        )
+        return Homes((first, in_region, in_domain), ranks)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -1,51 +1,44 @@
 """Chooses the backend server of a request; pure.
 
-A server that handled an object lately is several times faster with it, so the
-requests for an object go to few servers: in each region the first ones in the
-order of a hash of object and server. The choice is the lowest expected time:
-distance, work (shorter where the object is warm) and queue.
+A server that handled an object lately is several times faster with it. The
+choice is the lowest expected cost: distance, work (shorter where the object
+is warm), queue, and the chance to miss the route's target latency.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Sequence
 
 import xxhash
 
+from radishmux.steer.move_budget import SpillGate
+from radishmux.steer.object_places import (
+    BODY_SCALE_BYTES,
+    ObjectPlace,
+    ObjectPlaces,
+)
 from radishmux.steer.server_state import ServerState
 from radishmux.steer.servers import Server
+from radishmux.steer.work_times import WorkTimes
 
-# Work time assumed before any response was measured.
-INITIAL_WORK_S = 0.3
-# Warm work relative to cold work before both were measured.
-INITIAL_WARM_RATIO = 0.4
-_WORK_WEIGHT = 0.05
 # Round trips, one-way 0.1, 1 and 55 ms, from the platform's figures.
 ROUND_TRIP_S = {"domain": 0.0004, "region": 0.002, "remote": 0.11}
+# What a request across failure domains is worth avoiding: its bytes are paid
+# for. A fifth of the time between regions, whose bytes cost several times as
+# much.
+DOMAIN_CROSSING_S = 0.025
 # A failed request costs about a second try.
 FAILURE_COST = 2.0
-
-
-class WorkTimes:
-    """Measured work times of one route at one service."""
-
-    __slots__ = ("cold_s", "warm_s")
-
-    def __init__(self) -> None:
-        self.cold_s = INITIAL_WORK_S
-        self.warm_s = INITIAL_WORK_S * INITIAL_WARM_RATIO
-
-    def note(self, work_s: float, was_warm: bool) -> None:
-        """Takes the duration of a response, without distance and queue."""
-        if was_warm:
-            self.warm_s += _WORK_WEIGHT * (work_s - self.warm_s)
-        else:
-            self.cold_s += _WORK_WEIGHT * (work_s - self.cold_s)
-        self.cold_s = max(self.cold_s, self.warm_s)
-
-    def expected(self, is_warm: bool) -> float:
-        """Returns the expected work time in seconds."""
-        return self.warm_s if is_warm else self.cold_s
+# Cost of missing the target latency, as a multiple of it.
+LATE_COST = 1.5
+# Spread of the time that a request takes, relative to what is expected.
+SPREAD = 0.15
+# Servers other than an object's home cost this much more, so that equals do
+# not take turns.
+_AWAY_COST_S = 0.005
+# A server that joined this lately has not been warmed by other instances.
+JUST_JOINED_S = 5.0
 
 
 class Demand:
@@ -56,9 +49,11 @@
         route: Name of the route.
         key: Hash of the object that it concerns; None without affinity.
         regions: Regions that may serve it; empty means all.
+        body_bytes: Size of its body.
+        target_s: Time that is left of the route's target latency.
     """
 
-    __slots__ = ("key", "regions", "route", "service")
+    __slots__ = ("body_bytes", "key", "regions", "route", "service", "target_s")
 
     def __init__(
         self,
@@ -66,11 +61,15 @@
         route: str,
         key: int | None,
         regions: frozenset[str],
+        body_bytes: int = 0,
+        target_s: float = math.inf,
     ) -> None:
         self.service = service
         self.route = route
         self.key = key
         self.regions = regions
+        self.body_bytes = body_bytes
+        self.target_s = target_s
 
 
 class Choice:
@@ -80,22 +79,42 @@
         server: The server.
         expected_s: Expected time until the response.
         work_s: Part of it that the server works.
-        is_warm: Whether its object is expected to be warm there.
+        known_warm: Whether it handled the object for this instance lately.
+        is_home: Whether it is one of the object's homes.
+        is_queued: Whether the request is expected to wait there.
     """
 
-    __slots__ = ("expected_s", "is_warm", "server", "work_s")
+    __slots__ = (
+        "cost",
+        "expected_s",
+        "is_home",
+        "is_queued",
+        "known_warm",
+        "server",
+        "work_s",
+    )
 
     def __init__(
-        self, server: Server, expected_s: float, work_s: float, is_warm: bool
+        self,
+        server: Server,
+        expected_s: float,
+        work_s: float,
+        known_warm: bool,
+        is_home: bool,
+        is_queued: bool,
+        cost: float,
     ) -> None:
         self.server = server
         self.expected_s = expected_s
         self.work_s = work_s
-        self.is_warm = is_warm
+        self.known_warm = known_warm
+        self.is_home = is_home
+        self.is_queued = is_queued
+        self.cost = cost
 
 
 class Placement:
-    """Orders servers for requests of one instance.
+    """Chooses servers for the requests of one instance.
 
     Args:
         region: Region of this instance.
@@ -107,9 +126,8 @@
         self._failure_domain = failure_domain
         self._states: dict[str, ServerState] = {}
         self._works: dict[tuple[str, str], WorkTimes] = {}
-        self._orders: dict[
-            tuple[str, int], tuple[tuple[Server, ...], dict[str, int]]
-        ] = {}
+        self._places: dict[str, ObjectPlaces] = {}
+        self._spills: dict[str, SpillGate] = {}
 
     def state(self, name: str) -> ServerState:
         """Returns what was seen of a server."""
@@ -118,12 +136,11 @@
             state = self._states[name] = ServerState()
         return state
 
-    def work_times(self, demand: Demand) -> WorkTimes:
+    def work_times(self, service: str, route: str) -> WorkTimes:
         """Returns the measured work times for a kind of request."""
-        key = (demand.service, demand.route)
-        work = self._works.get(key)
+        work = self._works.get((service, route))
         if work is None:
-            work = self._works[key] = WorkTimes()
+            work = self._works[(service, route)] = WorkTimes()
         return work
 
     def forget_except(self, names: set[str]) -> None:
@@ -131,7 +148,6 @@
         for name in self._states.keys() - names:
             if not self._states[name].in_flight:
                 del self._states[name]
-        self._orders.clear()
 
     def round_trip_s(self, server: Server) -> float:
         """Returns the time to a server and back."""
@@ -141,66 +157,111 @@
         return ROUND_TRIP_S["domain" if same else "region"]
 
     def choose(
-        self, demand: Demand, servers: Iterable[Server], now: float
+        self,
+        demand: Demand,
+        servers: Sequence[Server],
+        may_use: Callable[[Server], bool],
+        now: float,
     ) -> Choice | None:
-        """Returns the server with the lowest expected time, or None.
+        """Returns the server for a request, or None when there is none.
 
         Args:
             demand: The request.
-            servers: Servers that may take it.
+            servers: All servers that the request is allowed at.
+            may_use: Whether one of them can take it now.
             now: Monotonic seconds.
         """
-        work = self.work_times(demand)
+        if not servers:
+            return None
+        place = None
+        if demand.key is not None:
+            places = self._places.get(demand.service)
+            if places is None:
+                places = ObjectPlaces(self._region, self._failure_domain, now)
+                self._places[demand.service] = places
+            place = places.place(demand.key, servers)
+            places.note(place, demand.body_bytes, now)
+        home_region = place.home.region if place else self._region
+        near, far = self._cheapest(
+            demand, servers, may_use, place, home_region, now
+        )
+        if near is None or far is None or demand.regions:
+            return near if far is None else far
+        spill = self._spills.get(demand.service)
+        if spill is None:
+            spill = self._spills[demand.service] = SpillGate(now)
+        return far if spill.allow(far is not near, now) else near
+
+    def _cheapest(
+        self,
+        demand: Demand,
+        servers: Sequence[Server],
+        may_use: Callable[[Server], bool],
+        place: ObjectPlace | None,
+        home_region: str,
+        now: float,
+    ) -> tuple[Choice | None, Choice | None]:
+        """Returns the best server of the home region and of all regions."""
+        work = self.work_times(demand.service, demand.route)
+        near: Choice | None = None
         best: Choice | None = None
-        best_cost = 0.0
-        usable = [
-            server
-            for server in servers
-            if self.state(server.name).paused_until <= now
-        ]
-        ranks = self._ranks(demand, tuple(usable))
-        for server in usable:
-            state = self._states[server.name]
-            is_warm = demand.key is None or state.is_warm(demand.key)
-            likely_warm = is_warm or ranks.get(server.name, 1) == 0
-            work_s = work.expected(likely_warm) * state.slowness(now)
-            queued = state.load(now) + 1 - server.entry.slots
-            wait_s = max(0.0, queued) * work_s / server.entry.slots
-            expected_s = self.round_trip_s(server) + work_s + wait_s
-            cost = expected_s * (
-                1.0 + FAILURE_COST * state.failure_share(now)
-            ) + 1e-4 * ranks.get(server.name, 0)
-            if best is None or cost < best_cost:
-                best = Choice(server, expected_s, work_s, likely_warm)
-                best_cost = cost
-        return best
-
-    def _ranks(
-        self, demand: Demand, servers: tuple[Server, ...]
-    ) -> dict[str, int]:
-        """Returns the place of each server in its region's order."""
-        if demand.key is None:
-            return {}
-        cached = self._orders.get((demand.service, demand.key))
-        if cached is not None and cached[0] == servers:
-            return cached[1]
-        scored = sorted(
-            servers,
-            key=lambda one: xxhash.xxh3_64_intdigest(
-                one.name.encode(), seed=demand.key
-            ),
-            reverse=True,
+        for server in servers:
+            state = self.state(server.name)
+            if state.paused_until > now or not may_use(server):
+                continue
+            choice = self._assess(server, state, demand, work, place, now)
+            if best is None or choice.cost < best.cost:
+                best = choice
+            if server.region == home_region and (
+                near is None or choice.cost < near.cost
+            ):
+                near = choice
+        return near, best
+
+    def _assess(
+        self,
+        server: Server,
+        state: ServerState,
+        demand: Demand,
+        work: WorkTimes,
+        place: ObjectPlace | None,
+        now: float,
+    ) -> Choice:
+        known_warm = place is None or state.is_warm(demand.key or 0)
+        is_home = (
+            place is not None
+            and place.is_home(server)
+            and now - server.since > JUST_JOINED_S
         )
-        ranks: dict[str, int] = {}
-        counts: dict[str, int] = {}
-        for server in scored:
-            rank = counts.get(server.region, 0)
-            counts[server.region] = rank + 1
-            ranks[server.name] = rank
-        if len(self._orders) > 4096:
-            self._orders.clear()
-        self._orders[(demand.service, demand.key)] = (servers, ranks)
-        return ranks
+        slowness = state.slowness(now)
+        work_s = work.expected(known_warm, is_home) * slowness
+        slots = server.entry.slots
+        queued = max(0.0, state.load(now) + 1 - slots)
+        wait_s = queued * work.mean_s * slowness / slots
+        expected_s = self.round_trip_s(server) + work_s + wait_s
+        cost = expected_s * (1.0 + FAILURE_COST * state.failure_share(now))
+        if server.entry.failure_domain != self._failure_domain:
+            size = 1.0 + demand.body_bytes / BODY_SCALE_BYTES
+            cost += DOMAIN_CROSSING_S * size
+        if demand.target_s < math.inf:
+            cost += LATE_COST * demand.target_s * _late(expected_s, demand)
+        if place is not None and server is not place.home:
+            cost += _AWAY_COST_S + 1e-5 * place.homes.ranks[server.name]
+        return Choice(
+            server,
+            expected_s,
+            work_s,
+            known_warm,
+            is_home,
+            queued > 0,
+            cost,
+        )
+
+
+def _late(expected_s: float, demand: Demand) -> float:
+    """Returns the chance that a request misses its target latency."""
+    excess = (expected_s - demand.target_s) / (SPREAD * expected_s)
+    return 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, 1.7 * excess))))
 
 
 def object_key(route: str, affinity: str) -> int:
