Send an object to the first servers of each region only; bring versions in

Cause: under load, requests that found their server busy ran cold on others. Change: an object has two candidates in its own region and one in each other one; work on a busy server counts more. No tests of the new parts yet; the suite was not run on this commit.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -20,6 +20,7 @@
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.request_flow import RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
+from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
 from radishmux.http.pipelined import PipelinedServer
 from radishmux.membership.registrar import Registrar
@@ -129,7 +130,18 @@
         self._rates = FleetRates()
         self._paces = ColdPaces(settings.instance)
         self._budgets = RetryBudgets(settings.bounds)
+        self._rollouts = await stack.enter_async_context(
+            Rollouts(
+                self._store,
+                keys.status_key,
+                keys.encode_status,
+                settings.bounds.exposure_share,
+                self._turn,
+                self._clock,
+            )
+        )
         self._state.watch(self._on_event)
+        self._state.watch(self._rollouts.on_event)
         self._mirror = await stack.enter_async_context(
             StoreMirror(
                 self._store, keys.FOLLOWED_PREFIX, self._state, self._clock
@@ -150,7 +162,12 @@
         settings, clock = self._settings, self._clock
         placement = Placement(settings.region, settings.failure_domain)
         self._sender = ServerSender(
-            self._state, placement, self._paces, dialect, clock
+            self._state,
+            placement,
+            self._paces,
+            self._rollouts,
+            dialect,
+            clock,
         )
         stack.push_async_callback(self._sender.close)
         log = DecisionLog(
@@ -158,6 +175,7 @@
         )
         flow = RequestFlow(
             self._state,
+            self._rollouts,
             placement,
             self._sender,
             self._rates,
@@ -189,6 +207,11 @@
         routes = self._state.routes
         return routes.configuration.version if routes else 0
 
+    def _turn(self) -> int:
+        """Returns this instance's place among the registered ones."""
+        names = sorted({*self._state.instances, self._settings.instance})
+        return names.index(self._settings.instance)
+
     def _on_rejected(self, reason: str) -> None:
         state_change("request", "unreadable", "WARNING", reason=reason)
 
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -80,7 +80,17 @@
         if journey is not None:
             line["route"] = journey.route.name
             line["service"] = journey.service
-            line["servers"] = journey.attempts
+            line["attempts"] = [
+                {
+                    "server": choice.server.name,
+                    "expected_ms": round(choice.expected_s * 1000),
+                    "work_ms": round(choice.work_s * 1000),
+                    "warm": choice.known_warm,
+                    "home": choice.is_home,
+                    "load": round(choice.load, 1),
+                }
+                for choice in journey.choices
+            ]
             if journey.reason:
                 line["last_failure"] = journey.reason
         if detail:
--- a/src/radishmux/gateway/events.py
+++ b/src/radishmux/gateway/events.py
@@ -54,6 +54,7 @@
 
     service: str
     order: RolloutOrder | None
+    revision: int = 0
 
 
 class StatusPut(msgspec.Struct, frozen=True):
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -17,12 +17,16 @@
     StatusPut,
 )
 from radishmux.registry import Registry
+from radishmux.shift.rollout import VersionRule
 from radishmux.steer.host_routes import HostRoutes
 from radishmux.steer.servers import Server, ServerTable
 from radishmux.store.interface import KeyChange
 from radishmux.telemetry.logs import state_change
 
 Decode = Callable[[KeyChange], Event | None]
+# Servers of a new version that get its first requests, so that they are under
+# load although the requests are few.
+TRIAL_SERVERS = 2
 _takers: Registry[type, Callable[[Any, Any, float], None]] = Registry("event")
 
 
@@ -40,10 +44,11 @@
         self._servers = ServerTable(regions)
         self._evacuated: set[str] = set()
         self._instances: dict[str, InstanceRecord] = {}
-        self._rollouts: dict[str, RolloutPut] = {}
-        self._statuses: dict[str, StatusPut] = {}
+        self._orders: set[str] = set()
         self._watchers: list[Callable[[Event, float], None]] = []
-        self._regions = regions
+        self._usable: dict[
+            tuple[object, ...], tuple[tuple[Server, ...], tuple[Server, ...]]
+        ] = {}
 
     @property
     def routes(self) -> HostRoutes | None:
@@ -65,33 +70,38 @@
         """Registered instances by name."""
         return self._instances
 
-    @property
-    def rollouts(self) -> dict[str, RolloutPut]:
-        """Orders by service."""
-        return self._rollouts
-
-    @property
-    def statuses(self) -> dict[str, StatusPut]:
-        """Recorded states of orders by service."""
-        return self._statuses
-
     def watch(self, callback: Callable[[Event, float], None]) -> None:
         """Calls back with each event after it took effect."""
         self._watchers.append(callback)
 
-    def usable(self, service: str, regions: frozenset[str]) -> list[Server]:
-        """Returns the servers of a service that may get requests.
+    def usable(
+        self, service: str, regions: frozenset[str], rule: VersionRule
+    ) -> tuple[Server, ...]:
+        """Returns the servers of a service that a request may go to.
+
+        The same tuple is returned until something changes.
 
         Args:
             service: Name of the service.
             regions: Regions that may serve; empty means all.
+            rule: Versions that may serve.
         """
-        return [
+        key = (service, regions, rule.only, rule.never, rule.is_trial)
+        held = self._usable.get(key)
+        source = self._servers.of_service(service)
+        if held is not None and held[0] is source:
+            return held[1]
+        found = tuple(
             server
-            for server in self._servers.of_service(service)
+            for server in source
             if server.entry.failure_domain not in self._evacuated
             and (not regions or server.region in regions)
-        ]
+            and rule.allows(server.entry.version)
+        )
+        if rule.is_trial:
+            found = found[:TRIAL_SERVERS]
+        self._usable[key] = (source, found)
+        return found
 
     def apply_configuration(self, configuration: RoutingConfiguration) -> bool:
         """Puts a configuration in force if its version is higher."""
@@ -144,9 +154,7 @@
             if server.name not in servers
         ]
         gone += [EvacuationPut(one, False) for one in self._evacuated - domains]
-        gone += [
-            RolloutPut(one, None) for one in self._rollouts.keys() - orders
-        ]
+        gone += [RolloutPut(one, None) for one in self._orders - orders]
         gone += [
             InstancePut(one, None) for one in self._instances.keys() - names
         ]
@@ -191,15 +199,16 @@
         else:
             self._evacuated.discard(domain)
             self._chill(domain, now)
+        self._usable.clear()
         state = "evacuated" if event.active else "in use"
         state_change(f"failure domain {domain}", state)
 
     @_takers.register(RolloutPut)
     def _on_rollout(self, event: RolloutPut, now: float) -> None:
         if event.order is None:
-            self._rollouts.pop(event.service, None)
+            self._orders.discard(event.service)
         else:
-            self._rollouts[event.service] = event
+            self._orders.add(event.service)
         state_change(
             f"rollout of {event.service}",
             "ordered" if event.order else "withdrawn",
@@ -208,7 +217,7 @@
 
     @_takers.register(StatusPut)
     def _on_status(self, event: StatusPut, now: float) -> None:
-        self._statuses[event.service] = event
+        """Does nothing; the rollouts watch these events."""
 
     @_takers.register(InstancePut)
     def _on_instance(self, event: InstancePut, now: float) -> None:
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 
@@ -13,11 +14,13 @@
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.refusals import REFUSALS
 from radishmux.gateway.retry_budgets import RetryBudgets
+from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import Attempt, ServerSender
 from radishmux.http._response import Response
 from radishmux.http.pipelined import IncomingRequest
 from radishmux.outcome import Unavailable
 from radishmux.share.fleet_rate import FleetRates
+from radishmux.shift.rollout import VersionRule
 from radishmux.steer.placement import Choice, Demand, Placement, object_key
 from radishmux.steer.split import WeightedSplit
 from radishmux.verdict import Refusal, Verdict
@@ -28,9 +31,6 @@
 # times as long as expected, and no sooner than the floor.
 PATIENCE_FACTOR = 3.0
 MIN_PATIENCE_S = 0.25
-# Part of the remaining time that a first attempt may use when another one may
-# follow.
-MAX_PATIENCE_SHARE = 0.6
 # Callers honour a pause of up to a third of the time that they have left.
 MAX_RETRY_AFTER_SHARE = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -47,6 +47,8 @@
         regions: Regions that may serve it; empty means all.
         deadline: Monotonic time until which an answer is useful.
         attempts: Servers that it was sent to.
+        choices: What was expected of them.
+        ended: Attempts that have ended.
         may_have_run: Whether an attempt may have run.
         last: The latest response of a server that ran it, or None.
         reason: Why the latest attempt failed.
@@ -55,8 +57,10 @@
     __slots__ = (
         "attempts",
         "call",
+        "choices",
         "customer",
         "deadline",
+        "ended",
         "last",
         "may_have_run",
         "reason",
@@ -83,6 +87,8 @@
             self.regions = homes & self.regions if self.regions else homes
         self.deadline = deadline
         self.attempts: list[str] = []
+        self.choices: list[Choice] = []
+        self.ended = 0
         self.may_have_run = False
         self.last: ServerResponse | None = None
         self.reason = ""
@@ -93,6 +99,7 @@
 
     Args:
         state: What the fleet is told to do.
+        rollouts: Versions that requests may go to.
         placement: Chooses servers.
         sender: Sends requests to servers.
         rates: Customers' allowances.
@@ -105,6 +112,7 @@
     def __init__(
         self,
         state: FleetState,
+        rollouts: Rollouts,
         placement: Placement,
         sender: ServerSender,
         rates: FleetRates,
@@ -114,6 +122,7 @@
         log: DecisionLog,
     ) -> None:
         self._state = state
+        self._rollouts = rollouts
         self._placement = placement
         self._sender = sender
         self._rates = rates
@@ -167,24 +176,53 @@
     # Attempts.
 
     async def _serve(self, journey: Journey) -> Response:
-        while True:
-            now = self._clock.now()
-            if now >= journey.deadline:
-                return self._give_up(journey, "deadline_passed")
-            choice = self._choose(journey, now)
-            if choice is None:
-                return self._give_up(journey, "no_server")
-            if now + choice.expected_s >= journey.deadline:
-                return self._give_up(journey, "no_room", choice.expected_s)
-            if journey.attempts and not self._budgets.try_retry(
-                journey.service, now
-            ):
-                return self._give_up(journey, "retry_budget")
-            response = await self._attempt(journey, choice)
-            if response is not None:
-                return response
-            if not self._may_repeat(journey):
-                return self._give_up(journey, journey.reason)
+        """Makes attempts until one gives an answer for the caller.
+
+        A repeatable request whose server takes long is sent to a second one
+        while the first goes on; the first answer counts.
+        """
+        running: set[asyncio.Task[ServerResponse | NoResponse]] = set()
+        patience_until = journey.call.received_at
+        try:
+            while True:
+                now = self._clock.now()
+                if now >= journey.deadline:
+                    # Attempts that go on may have run, or run until they see
+                    # that they are cancelled.
+                    journey.may_have_run |= bool(running)
+                    return self._give_up(journey, "deadline_passed")
+                if now >= patience_until and self._may_repeat(journey):
+                    choice = self._choose(journey, now)
+                    reason = self._objection(journey, choice, now)
+                    if choice is not None and reason is None:
+                        patience_until = self._patience_until(choice, now)
+                        running.add(self._start(journey, choice))
+                    elif not running:
+                        expected_s = choice.expected_s if choice else math.inf
+                        return self._give_up(
+                            journey, reason or "no_server", expected_s
+                        )
+                    else:
+                        patience_until = math.inf
+                if not running:
+                    return self._give_up(journey, journey.reason)
+                until = journey.deadline
+                if self._may_repeat(journey):
+                    until = min(until, patience_until)
+                done, running = await asyncio.wait(
+                    running,
+                    timeout=max(0.0, until - now),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    response = self._conclude(journey, task.result())
+                    if response is not None:
+                        return response
+                if done and not running:
+                    patience_until = now
+        finally:
+            for task in running:
+                task.cancel()
 
     def _choose(self, journey: Journey, now: float) -> Choice | None:
         route = journey.route
@@ -199,11 +237,22 @@
             journey.regions,
             len(journey.call.body),
             max(0.0, target_s),
+            journey.deadline - now,
         )
-        servers = self._state.usable(journey.service, journey.regions)
+        rule = self._rollouts.rule(journey.service, route.name, now)
+        choice = self._choose_by(rule, journey, demand, now)
+        if choice is None and rule.only is not None:
+            # The version that it was meant for has no room.
+            other = VersionRule(never=rule.only)
+            choice = self._choose_by(other, journey, demand, now)
+        return choice
+
+    def _choose_by(
+        self, rule: VersionRule, journey: Journey, demand: Demand, now: float
+    ) -> Choice | None:
         return self._placement.choose(
             demand,
-            servers,
+            self._state.usable(journey.service, journey.regions, rule),
             lambda server: (
                 server.name not in journey.attempts
                 and self._sender.may_send(server, now)
@@ -211,21 +260,39 @@
             now,
         )
 
-    async def _attempt(
+    def _objection(
+        self, journey: Journey, choice: Choice | None, now: float
+    ) -> str | None:
+        """Returns why an attempt must not be made, or None."""
+        if choice is None:
+            return "no_server"
+        if now + choice.expected_s >= journey.deadline:
+            return "no_room"
+        if journey.attempts and not self._budgets.try_retry(
+            journey.service, now
+        ):
+            return "retry_budget"
+        return None
+
+    def _start(
         self, journey: Journey, choice: Choice
-    ) -> Response | None:
-        """Makes one attempt; None: it gave no answer for the caller."""
+    ) -> asyncio.Task[ServerResponse | NoResponse]:
         journey.attempts.append(choice.server.name)
-        now = self._clock.now()
+        journey.choices.append(choice)
         attempt = Attempt(
             call=journey.call,
             route=journey.route,
             customer=journey.customer.name if journey.customer else "",
             choice=choice,
             deadline=journey.deadline,
-            patience_until=self._patience_until(journey, choice, now),
         )
-        outcome = await self._sender.send(attempt)
+        return asyncio.create_task(self._sender.send(attempt))
+
+    def _conclude(
+        self, journey: Journey, outcome: ServerResponse | NoResponse
+    ) -> Response | None:
+        """Takes the end of an attempt; None: no answer for the caller."""
+        journey.ended += 1
         if isinstance(outcome, NoResponse):
             journey.reason = outcome.reason
             if outcome.verdict is not Verdict.NOT_RUN:
@@ -238,26 +305,17 @@
             return None
         return self._answer(journey, outcome)
 
-    def _patience_until(
-        self, journey: Journey, choice: Choice, now: float
-    ) -> float:
-        if not journey.route.kind.repeatable or not self._has_attempt(journey):
-            return journey.deadline
-        cold_s = self._placement.work_times(
-            journey.service, journey.route.name
-        ).cold_s
-        patience_s = max(
-            MIN_PATIENCE_S, PATIENCE_FACTOR * max(cold_s, choice.expected_s)
-        )
-        latest = now + MAX_PATIENCE_SHARE * (journey.deadline - now)
-        return min(latest, now + patience_s)
-
-    def _has_attempt(self, journey: Journey) -> bool:
-        return len(journey.attempts) < journey.route.max_attempts
+    def _patience_until(self, choice: Choice, now: float) -> float:
+        patience_s = max(MIN_PATIENCE_S, PATIENCE_FACTOR * choice.slow_s)
+        return now + patience_s
 
     def _may_repeat(self, journey: Journey) -> bool:
-        repeatable = journey.route.kind.repeatable or not journey.may_have_run
-        return repeatable and self._has_attempt(journey)
+        """Whether another attempt would be allowed."""
+        has_attempt = len(journey.attempts) < journey.route.max_attempts
+        repeatable = journey.route.kind.repeatable or (
+            not journey.may_have_run and journey.ended == len(journey.attempts)
+        )
+        return repeatable and has_attempt
 
     # Answers.
 
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -14,6 +14,7 @@
 )
 from radishmux.gateway.call import Call, Dialect, RunReport
 from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.rollouts import Rollouts
 from radishmux.steer.cold_pace import ColdPaces
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.servers import Server
@@ -29,7 +30,6 @@
         customer: Name of its customer; empty on open routes.
         choice: The server with what is expected of it.
         deadline: Monotonic time until which an answer is useful.
-        patience_until: Monotonic time until which to wait.
     """
 
     __slots__ = (
@@ -37,7 +37,6 @@
         "choice",
         "customer",
         "deadline",
-        "patience_until",
         "route",
     )
 
@@ -49,14 +48,12 @@
         customer: str,
         choice: Choice,
         deadline: float,
-        patience_until: float,
     ) -> None:
         self.call = call
         self.route = route
         self.customer = customer
         self.choice = choice
         self.deadline = deadline
-        self.patience_until = patience_until
 
 
 class ServerSender:
@@ -66,6 +63,7 @@
         state: Names the servers.
         placement: Keeps what was seen of them.
         paces: Bounds the requests to cold ones.
+        rollouts: Take the outcomes of versions.
         dialect: Headers of servers.
         clock: Monotonic time.
     """
@@ -75,12 +73,14 @@
         state: FleetState,
         placement: Placement,
         paces: ColdPaces,
+        rollouts: Rollouts,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
         self._state = state
         self._placement = placement
         self._paces = paces
+        self._rollouts = rollouts
         self._dialect = dialect
         self._clock = clock
         self._connections: dict[str, ServerConnections] = {}
@@ -109,6 +109,9 @@
         sent_at = now
         try:
             outcome = await self._exchange(attempt, server)
+        except asyncio.CancelledError:
+            self._note_abandoned(attempt, self._clock.now() - sent_at)
+            raise
         finally:
             state.ended()
         now = self._clock.now()
@@ -121,6 +124,7 @@
             return self._note_not_run(server, report, outcome, now)
         if outcome.status < 400 and not report.genuine:
             state.failed(now)
+            self._note_version(attempt, True, 0.0)
             return NoResponse("altered_response", Verdict.MAY_HAVE_RUN)
         self._note_response(attempt, outcome, now - sent_at, now)
         return outcome
@@ -140,7 +144,7 @@
         )
         return await connections.send(
             payload,
-            attempt.patience_until,
+            attempt.deadline,
             call.method == "HEAD",
             lambda headers: self._dialect.is_response_to(call, headers),
         )
@@ -162,8 +166,35 @@
             )
         else:
             state.failed(now)
+        if outcome.verdict is not Verdict.NOT_RUN:
+            self._note_version(attempt, True, 0.0)
         return outcome
 
+    def _note_abandoned(self, attempt: Attempt, waited_s: float) -> None:
+        """Takes an attempt that another answer or the caller's leaving ended.
+
+        It tells something only if it had already taken long.
+        """
+        ratio = waited_s / max(0.01, attempt.choice.slow_s)
+        if ratio > 1.0:
+            state = self._placement.state(attempt.choice.server.name)
+            state.served(ratio, None, self._clock.now())
+            self._note_version(attempt, False, waited_s)
+
+    def _note_version(
+        self, attempt: Attempt, failed: bool, duration_s: float
+    ) -> None:
+        """Tells the rollouts how a version did."""
+        choice = attempt.choice
+        entry = choice.server.entry
+        self._rollouts.note(
+            entry.service,
+            entry.version,
+            attempt.route.name,
+            failed,
+            duration_s / max(0.01, choice.slow_s),
+        )
+
     def _chill(self, server: Server, now: float) -> None:
         """Treats a server that broke as cold: it may have started again."""
         routes = self._state.routes
@@ -199,6 +230,7 @@
         choice = attempt.choice
         route = attempt.route
         state = self._placement.state(choice.server.name)
+        self._note_version(attempt, outcome.status >= 500, duration_s)
         if outcome.status >= 500:
             state.failed(now)
             return
--- a/src/radishmux/platform/keys.py
+++ b/src/radishmux/platform/keys.py
@@ -96,7 +96,7 @@
     if isinstance(order, Unavailable):
         _report(change, order)
         return None
-    return RolloutPut(service, order)
+    return RolloutPut(service, order, change.revision)
 
 
 @_decoders.register(documents.STATUS_PREFIX)
--- a/src/radishmux/steer/object_places.py
+++ b/src/radishmux/steer/object_places.py
@@ -2,10 +2,13 @@
 
 All instances start with the same server for an object, the first one in the
 order of a hash over the whole fleet, so that one slow first request warms it
-for all. An instance then moves the objects that it uses often nearer: to the
-first server of its region, and then of its failure domain. Each move costs one
-slow request and saves the distance from then on. Moves between regions are
-bounded by a rate.
+for all. An instance then moves the objects that it uses often nearer, to the
+first server of its region. Each move costs one slow request and saves the
+distance from then on. Moves between regions are bounded by a rate.
+
+A server keeps a few dozen objects warm. An object goes to the first servers
+of each region only: with requests spread over all servers, each server saw all
+objects and dropped them before they came again.
 """
 
 from __future__ import annotations
@@ -21,7 +24,11 @@
 
 # Requests of this instance for an object before it is moved nearer. A slow
 # first request costs about as much as the distance of this many requests.
-MOVES_AFTER = {"region": 4, "domain": 8}
+MOVE_AFTER = 4
+# Servers of its own region, and of each other one, that an instance sends one
+# object to.
+OWN_CANDIDATES = 2
+OTHER_CANDIDATES = 1
 # Bodies of this size double the worth of being near.
 BODY_SCALE_BYTES = 8_192
 MAX_OBJECTS = 8_192
@@ -32,24 +39,30 @@
 
     FLEET = 0
     REGION = 1
-    DOMAIN = 2
 
 
 class Homes:
     """The first servers in an object's order.
 
     Attributes:
-        by_level: First of the fleet, of this region and of this domain; a
-            missing one is the next wider one.
+        by_level: First of the fleet and of this region; without one here,
+            the first of the fleet twice.
+        candidates: The servers that an object should go to at all: the first
+            ones of each region, so that no server sees more objects than it
+            can keep warm.
         ranks: Place of each server in the order of the whole fleet.
     """
 
-    __slots__ = ("by_level", "ranks")
+    __slots__ = ("by_level", "candidates", "ranks")
 
     def __init__(
-        self, by_level: tuple[Server, Server, Server], ranks: dict[str, int]
+        self,
+        by_level: tuple[Server, Server],
+        candidates: tuple[Server, ...],
+        ranks: dict[str, int],
     ) -> None:
         self.by_level = by_level
+        self.candidates = candidates
         self.ranks = ranks
 
 
@@ -88,13 +101,11 @@
 
     Args:
         region: Region of this instance.
-        failure_domain: Failure domain of this instance.
         now: Monotonic seconds.
     """
 
-    def __init__(self, region: str, failure_domain: str, now: float) -> None:
+    def __init__(self, region: str, now: float) -> None:
         self._region = region
-        self._failure_domain = failure_domain
         self._places: OrderedDict[int, ObjectPlace] = OrderedDict()
         self._moves = MoveBudget(now)
 
@@ -126,8 +137,7 @@
         target = self._next_level(place)
         if target is None:
             return False
-        after = MOVES_AFTER[target.name.lower()]
-        if place.requests * (1 + body_bytes / BODY_SCALE_BYTES) < after:
+        if place.requests * (1 + body_bytes / BODY_SCALE_BYTES) < MOVE_AFTER:
             return False
         crosses = place.home.region != place.homes.by_level[target].region
         part = 1.0 / max(1, len(self._places))
@@ -157,15 +167,15 @@
         )
         ranks = {server.name: rank for rank, server in enumerate(ordered)}
         first = ordered[0]
+        counts: dict[str, int] = {}
+        candidates: list[Server] = []
+        for server in ordered:
+            count = counts.get(server.region, 0)
+            counts[server.region] = count + 1
+            is_own = server.region == self._region
+            if count < (OWN_CANDIDATES if is_own else OTHER_CANDIDATES):
+                candidates.append(server)
         in_region = next(
-            (one for one in ordered if one.region == self._region), first
-        )
-        in_domain = next(
-            (
-                one
-                for one in ordered
-                if one.entry.failure_domain == self._failure_domain
-            ),
-            in_region,
+            (one for one in candidates if one.region == self._region), first
         )
-        return Homes((first, in_region, in_domain), ranks)
+        return Homes((first, in_region), tuple(candidates), ranks)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -32,6 +32,14 @@
 FAILURE_COST = 2.0
 # Cost of missing the target latency, as a multiple of it.
 LATE_COST = 1.5
+# Time of a queued request relative to that with a warm object.
+QUEUE_FACTOR = 1.5
+# Cost of the time that a request takes from others on a busy server: its
+# work counts this many times more on a full server, and not on one that is
+# half empty. Without it, requests that find their home busy run cold on other
+# busy servers, which takes several times the slots and makes all of them
+# late for good.
+CROWDING = 2.0
 # Spread of the time that a request takes, relative to what is expected.
 SPREAD = 0.15
 # Servers other than an object's home cost this much more, so that equals do
@@ -51,9 +59,18 @@
         regions: Regions that may serve it; empty means all.
         body_bytes: Size of its body.
         target_s: Time that is left of the route's target latency.
+        left_s: Time that is left until an answer is useless.
     """
 
-    __slots__ = ("body_bytes", "key", "regions", "route", "service", "target_s")
+    __slots__ = (
+        "body_bytes",
+        "key",
+        "left_s",
+        "regions",
+        "route",
+        "service",
+        "target_s",
+    )
 
     def __init__(
         self,
@@ -63,6 +80,7 @@
         regions: frozenset[str],
         body_bytes: int = 0,
         target_s: float = math.inf,
+        left_s: float = math.inf,
     ) -> None:
         self.service = service
         self.route = route
@@ -70,6 +88,7 @@
         self.regions = regions
         self.body_bytes = body_bytes
         self.target_s = target_s
+        self.left_s = left_s
 
 
 class Choice:
@@ -78,9 +97,11 @@
     Attributes:
         server: The server.
         expected_s: Expected time until the response.
+        slow_s: The same if the object turns out to be cold.
         work_s: Part of it that the server works.
         known_warm: Whether it handled the object for this instance lately.
         is_home: Whether it is one of the object's homes.
+        load: Estimated requests at the server.
         is_queued: Whether the request is expected to wait there.
     """
 
@@ -90,7 +111,9 @@
         "is_home",
         "is_queued",
         "known_warm",
+        "load",
         "server",
+        "slow_s",
         "work_s",
     )
 
@@ -103,6 +126,8 @@
         is_home: bool,
         is_queued: bool,
         cost: float,
+        slow_s: float,
+        load: float,
     ) -> None:
         self.server = server
         self.expected_s = expected_s
@@ -111,6 +136,8 @@
         self.is_home = is_home
         self.is_queued = is_queued
         self.cost = cost
+        self.slow_s = slow_s
+        self.load = load
 
 
 class Placement:
@@ -177,14 +204,20 @@
         if demand.key is not None:
             places = self._places.get(demand.service)
             if places is None:
-                places = ObjectPlaces(self._region, self._failure_domain, now)
+                places = ObjectPlaces(self._region, now)
                 self._places[demand.service] = places
             place = places.place(demand.key, servers)
             places.note(place, demand.body_bytes, now)
         home_region = place.home.region if place else self._region
-        near, far = self._cheapest(
-            demand, servers, may_use, place, home_region, now
-        )
+        near = far = None
+        if place is not None:
+            near, far = self._cheapest(
+                demand, place.homes.candidates, may_use, place, home_region, now
+            )
+        if far is None or far.expected_s > demand.left_s:
+            near, far = self._cheapest(
+                demand, servers, may_use, place, home_region, now
+            )
         if near is None or far is None or demand.regions:
             return near if far is None else far
         spill = self._spills.get(demand.service)
@@ -236,10 +269,16 @@
         slowness = state.slowness(now)
         work_s = work.expected(known_warm, is_home) * slowness
         slots = server.entry.slots
-        queued = max(0.0, state.load(now) + 1 - slots)
-        wait_s = queued * work.mean_s * slowness / slots
+        load = state.load(now)
+        queued = max(0.0, load + 1 - slots)
+        # Requests queue where their objects are warm or become so.
+        wait_s = queued * work.warm_s * QUEUE_FACTOR * slowness / slots
         expected_s = self.round_trip_s(server) + work_s + wait_s
-        cost = expected_s * (1.0 + FAILURE_COST * state.failure_share(now))
+        busy = min(1.0, (load + 1) / slots)
+        crowding_s = work_s * CROWDING * max(0.0, 2.0 * busy - 1.0)
+        cost = (expected_s + crowding_s) * (
+            1.0 + FAILURE_COST * state.failure_share(now)
+        )
         if server.entry.failure_domain != self._failure_domain:
             size = 1.0 + demand.body_bytes / BODY_SCALE_BYTES
             cost += DOMAIN_CROSSING_S * size
@@ -255,6 +294,8 @@
             is_home,
             queued > 0,
             cost,
+            expected_s + work.cold_s - work_s,
+            load,
         )
 
 
