Exchange reports between instances; divide rates by demand; short watches

Change: reports twice a second over the peer bus: demands, outcomes of versions, who lives; fractions of the rate follow demand, growth one report later than at the peers; the slack of the operators' bound is divided as tokens; a watch waits 1.2 s at most. No tests of the new parts yet.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -15,15 +15,18 @@
     ConfigurationPut,
     Event,
     InstancePut,
-    InstanceRecord,
 )
 from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.reports import FleetReports
 from radishmux.gateway.request_flow import RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
 from radishmux.http.pipelined import PipelinedServer
+from radishmux.membership.peers import Peers
+from radishmux.membership.record import InstanceRecord
 from radishmux.membership.registrar import Registrar
+from radishmux.peer.bus import PeerBus
 from radishmux.platform import dialect, keys
 from radishmux.platform.directory import DirectoryHandler, ReadyHandler
 from radishmux.platform.store import PlatformStore
@@ -102,6 +105,7 @@
         started_at = self._clock.now()
         self._leaving = True
         state_change("instance", "leaving")
+        await self._reports.announce()
         withdrawal = asyncio.create_task(self._registrar.withdraw())
         self._callers.drain()
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
@@ -127,7 +131,9 @@
             PlatformStore(settings.store.address)
         )
         self._state = FleetState(keys.event_of, settings.regions)
-        self._rates = FleetRates()
+        self._rates = FleetRates(
+            settings.bounds.quota_overrun, settings.bounds.quota_slack
+        )
         self._paces = ColdPaces(settings.instance)
         self._budgets = RetryBudgets(settings.bounds)
         self._rollouts = await stack.enter_async_context(
@@ -140,6 +146,25 @@
                 self._clock,
             )
         )
+        self._peers = Peers(self._record)
+        bus = await stack.enter_async_context(
+            PeerBus(
+                settings.instance,
+                self._record.incarnation,
+                self._record.peer_address,
+            )
+        )
+        self._reports = await stack.enter_async_context(
+            FleetReports(
+                self._record,
+                bus,
+                self._peers,
+                self._rates,
+                self._rollouts,
+                lambda: self._leaving,
+                self._clock,
+            )
+        )
         self._state.watch(self._on_event)
         self._state.watch(self._rollouts.on_event)
         self._mirror = await stack.enter_async_context(
@@ -230,6 +255,7 @@
             self._on_members(now)
 
     def _on_members(self, now: float) -> None:
+        self._peers.set_records(self._state.instances.values(), now)
         names = frozenset(self._state.instances) | {self._settings.instance}
         self._paces.set_instances(names)
         self._budgets.set_instances(len(names))
@@ -239,15 +265,12 @@
         now = self._clock.now()
         self._state.servers.expire(now)
         self._sender.prune()
-        self._rates.report(now)
 
     def _lookup(
         self, region: str, failure_domain: str
     ) -> tuple[list[InstanceRecord], float]:
-        known = dict(self._state.instances)
+        known = self._peers.usable(self._clock.now())
         if not self._leaving:
-            known[self._record.instance] = self._record
-        else:
-            known.pop(self._record.instance, None)
+            known.append(self._record)
         ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
-        return nearest(known.values(), region, failure_domain), ttl_s
+        return nearest(known, region, failure_domain), ttl_s
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -80,6 +80,8 @@
         if journey is not None:
             line["route"] = journey.route.name
             line["service"] = journey.service
+            if journey.customer is not None:
+                line["customer"] = journey.customer.name
             line["attempts"] = [
                 {
                     "server": choice.server.name,
--- a/src/radishmux/gateway/events.py
+++ b/src/radishmux/gateway/events.py
@@ -5,30 +5,11 @@
 import msgspec
 
 from radishmux.config.routing import RoutingConfiguration
+from radishmux.membership.record import InstanceRecord
 from radishmux.shift.orders import RolloutOrder, RolloutStatus
 from radishmux.steer.servers import ServerEntry
 
 
-class InstanceRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """What an instance says about itself in the store.
-
-    Attributes:
-        instance: Its name.
-        incarnation: Grows with each start.
-        region: Region that it is in.
-        failure_domain: Failure domain that it is in.
-        caller_address: `ip:port` for callers.
-        peer_address: `ip:port` for other instances.
-    """
-
-    instance: str
-    incarnation: int
-    region: str
-    failure_domain: str
-    caller_address: str
-    peer_address: str
-
-
 class ConfigurationPut(msgspec.Struct, frozen=True):
     """A configuration that can be put in force."""
 
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -11,11 +11,11 @@
     EvacuationPut,
     Event,
     InstancePut,
-    InstanceRecord,
     RolloutPut,
     ServerPut,
     StatusPut,
 )
+from radishmux.membership.record import InstanceRecord
 from radishmux.registry import Registry
 from radishmux.shift.rollout import VersionRule
 from radishmux.steer.host_routes import HostRoutes
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -159,7 +159,13 @@
         now = self._clock.now()
         if customer is not None and not self._rates.take(customer, now):
             wait_s = self._rates.wait_s(customer, now)
-            return self._refuse(call, "rate_exceeded", retry_after_s=wait_s)
+            part = self._rates.fraction(customer.name)
+            detail = (
+                f"{customer.name}: {part:.3f} of {customer.rate_per_s:g}/s here"
+            )
+            return self._refuse(
+                call, "rate_exceeded", retry_after_s=wait_s, detail=detail
+            )
         patience_s = route.timeout_s
         if call.patience_s is not None:
             patience_s = min(patience_s, call.patience_s - ANSWER_MARGIN_S)
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -118,6 +118,39 @@
   3: list<string> cells,
 }
 
+struct CustomerDemand {
+  1: string customer,
+  2: double rate_per_s,
+}
+
+struct VersionTally {
+  1: string service_name,
+  2: string version,
+  3: string route,
+  4: i32 requests,
+  5: i32 failures,
+  6: i32 slow,
+}
+
+struct RolloutView {
+  1: string service_name,
+  2: string version,
+  3: double elapsed_s,
+  // What is wrong with the version; empty: nothing is known.
+  4: string fault,
+}
+
+// What an instance tells each peer twice a second; the reply is the peer's
+// own report.
+struct FleetReport {
+  1: string instance,
+  2: i64 incarnation,
+  3: bool leaving,
+  4: list<CustomerDemand> demands,
+  5: list<VersionTally> tallies,
+  6: list<RolloutView> rollouts,
+}
+
 struct Done {
   1: bool accepted,
   2: string reason,
@@ -138,6 +171,7 @@
   12: Release release,
   13: Done done,
   14: VersionEvidence version_evidence,
+  15: FleetReport fleet_report,
 }
 
 struct Envelope {
--- a/src/radishmux/platform/directory.py
+++ b/src/radishmux/platform/directory.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from radishmux.gateway.events import InstanceRecord
 from radishmux.http._response import Response
 from radishmux.http.pipelined import IncomingRequest
+from radishmux.membership.record import InstanceRecord
 
 RESOLVE_PATH = "/api/resolve"
 READY_PATH = "/api/readiness"
--- a/src/radishmux/platform/keys.py
+++ b/src/radishmux/platform/keys.py
@@ -12,11 +12,11 @@
     EvacuationPut,
     Event,
     InstancePut,
-    InstanceRecord,
     RolloutPut,
     ServerPut,
     StatusPut,
 )
+from radishmux.membership.record import InstanceRecord
 from radishmux.outcome import Unavailable
 from radishmux.platform import documents
 from radishmux.registry import Registry
--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -23,9 +23,6 @@
 )
 
 _CONNECT_TIMEOUT_S = 1.0
-# The watch answers this much after its wait at the latest, when the store
-# and the path to it are well.
-_WATCH_MARGIN_S = 1.0
 _USER_TIMEOUT_MS = 2_000
 _REJECTED = frozenset({429, 503})
 _JSON = {"Content-Type": "application/json"}
@@ -162,9 +159,7 @@
             f"kv-watch?PathPrefix={quote(prefix, safe='')}"
             f"&after={revision}&WaitMs={round(wait_s * 1000)}"
         )
-        reply = await self._call(
-            "GET", path, None, wait_s + timeout_s + _WATCH_MARGIN_S
-        )
+        reply = await self._call("GET", path, None, wait_s + timeout_s)
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == 410:
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -56,6 +56,7 @@
         retry_slack: Further attempts of a service beyond the ratio.
         quota_window_s: Window in which a customer's rate is counted.
         quota_overrun: Fraction by which a customer may exceed its rate.
+        quota_slack: Requests by which it may exceed its rate and burst.
         cold_overrun: Factor by which a cold server's rate may be exceeded.
         exposure_share: Fraction of a service's requests for a new version.
         lookup_ttl_s: Longest time for which an answer of the directory counts.
@@ -68,6 +69,7 @@
     retry_slack: float = 50.0
     quota_window_s: float = 5.0
     quota_overrun: float = 0.1
+    quota_slack: float = 10.0
     cold_overrun: float = 1.5
     exposure_share: float = 0.1
     lookup_ttl_s: float = 5.0
--- a/src/radishmux/share/bucket.py
+++ b/src/radishmux/share/bucket.py
@@ -16,11 +16,28 @@
         rate_per_s: The customer's rate over the whole fleet.
         burst: The customer's burst over the whole fleet, in tokens.
         now: Monotonic seconds.
+        least_capacity: Tokens that a bucket with any fraction holds; above 0,
+            the tokens of all buckets may exceed the burst by as many for each
+            bucket.
     """
 
-    __slots__ = ("_at", "_burst", "_fraction", "_rate_per_s", "_tokens")
-
-    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
+    __slots__ = (
+        "_at",
+        "_burst",
+        "_fraction",
+        "_least_capacity",
+        "_rate_per_s",
+        "_tokens",
+    )
+
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        now: float,
+        least_capacity: float = 0.0,
+    ) -> None:
+        self._least_capacity = least_capacity
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._fraction = 0.0
@@ -40,7 +57,9 @@
     @property
     def capacity(self) -> float:
         """Most tokens that the bucket holds."""
-        return self._fraction * self._burst
+        if self._fraction <= 0.0:
+            return 0.0
+        return max(self._least_capacity, self._fraction * self._burst)
 
     @property
     def rate_per_s(self) -> float:
@@ -98,6 +117,12 @@
         self._fraction = max(0.0, fraction)
         self._tokens = min(self._tokens, self.capacity)
 
+    def set_least_capacity(self, tokens: float, now: float) -> None:
+        """Sets the tokens that the bucket holds with any fraction."""
+        self.advance(now)
+        self._least_capacity = tokens
+        self._tokens = min(self._tokens, self.capacity)
+
     def put(self, tokens: float, now: float) -> None:
         """Adds tokens that came with a fraction, up to the capacity."""
         self.advance(now)
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -16,7 +16,15 @@
 
 # Demand that every instance is taken to have, as part of the customer's rate
 # divided by the instances, so that callers who arrive find something.
-IDLE_PART = 0.25
+IDLE_PART = 0.5
+# Part of the operators' overrun that is divided too.
+OVERRUN_USED = 0.8
+# Part of the operators' slack that is divided as tokens which a bucket may
+# hold beyond its part of the burst: a part of a small customer's burst can be
+# less than one token, and would admit nothing.
+SLACK_USED = 0.9
+# Longest pause that a refusal names.
+MAX_WAIT_S = 1.0
 
 
 class DemandReport(msgspec.Struct, frozen=True):
@@ -32,19 +40,35 @@
 class _Share:
     __slots__ = ("bucket", "demand", "terms")
 
-    def __init__(self, terms: CustomerTerms, now: float) -> None:
+    def __init__(
+        self,
+        terms: CustomerTerms,
+        rate_per_s: float,
+        least_tokens: float,
+        now: float,
+    ) -> None:
         self.terms = terms
-        self.bucket = FractionBucket(terms.rate_per_s, terms.burst, now)
+        self.bucket = FractionBucket(rate_per_s, terms.burst, now, least_tokens)
         self.demand = DemandMeter(now)
 
 
 class FleetRates:
-    """This instance's part of every customer's rate."""
+    """This instance's part of every customer's rate.
+
+    Args:
+        overrun: Fraction by which a customer may exceed its rate.
+        slack: Requests by which it may exceed its rate and burst in a window.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, overrun: float = 0.0, slack: float = 0.0) -> None:
+        self._overrun = overrun
+        self._slack = slack
         self._shares: dict[str, _Share] = {}
+        # The latest report, which peers may not have yet, and the one before.
         self._own = DemandReport({})
-        self._peers: dict[str, DemandReport] = {}
+        self._known = DemandReport({})
+        # None: the peer is silent, and may have any demand.
+        self._peers: dict[str, DemandReport | None] = {}
         self._isolated = False
 
     def set_customers(
@@ -67,11 +91,16 @@
         return share.bucket.take(now)
 
     def wait_s(self, customer: CustomerTerms, now: float) -> float:
-        """Returns the seconds until the next request may be admitted."""
-        return min(1.0, self._share(customer, now).bucket.wait_s(now))
+        """Returns the seconds until the next token, at most MAX_WAIT_S."""
+        return min(MAX_WAIT_S, self._share(customer, now).bucket.wait_s(now))
 
     def report(self, now: float) -> DemandReport:
-        """Returns the demand for the peers; own shares follow it from now."""
+        """Returns the demand for the peers.
+
+        Own demand that has grown counts here one report later than at the
+        peers, so that nobody takes more before the others take less.
+        """
+        self._known = self._own
         self._own = DemandReport(
             {
                 name: share.demand.rate_per_s(now)
@@ -85,17 +114,24 @@
         self, instance: str, report: DemandReport, now: float
     ) -> None:
         """Takes a peer's demand."""
-        self._peers[instance] = report
-        self._divide(now)
+        if instance in self._peers:
+            self._peers[instance] = report
+            self._divide(now)
 
     def set_instances(self, peers: set[str], now: float) -> None:
-        """Sets the peers that take part; a new one counts as idle."""
+        """Sets the peers that take part; a new one is silent at first."""
         for name in self._peers.keys() - peers:
             del self._peers[name]
         for name in peers - self._peers.keys():
-            self._peers[name] = DemandReport({})
+            self._peers[name] = None
         self._divide(now)
 
+    def set_silent(self, instance: str, now: float) -> None:
+        """Takes the news that a peer has not been heard for a while."""
+        if self._peers.get(instance) is not None:
+            self._peers[instance] = None
+            self._divide(now)
+
     def set_isolated(self, isolated: bool, now: float) -> None:
         """Sets whether the peers may have divided without this instance."""
         if isolated != self._isolated:
@@ -110,13 +146,27 @@
     def _share(self, customer: CustomerTerms, now: float) -> _Share:
         share = self._shares.get(customer.name)
         if share is None:
-            share = self._shares[customer.name] = _Share(customer, now)
+            share = self._shares[customer.name] = _Share(
+                customer,
+                self._divided_rate(customer),
+                SLACK_USED * self._slack / (len(self._peers) + 1),
+                now,
+            )
             self._set_fraction(share, now)
         elif share.terms is not customer:
             share.terms = customer
-            share.bucket.set_rate(customer.rate_per_s, customer.burst, now)
+            rate_per_s = self._divided_rate(customer)
+            share.bucket.set_rate(rate_per_s, customer.burst, now)
         return share
 
+    def _divided_rate(self, customer: CustomerTerms) -> float:
+        """Returns the rate that is divided.
+
+        Tokens are lost where demand moves away before they are used; the
+        overrun that operators allow makes up for them.
+        """
+        return customer.rate_per_s * (1.0 + OVERRUN_USED * self._overrun)
+
     def _divide(self, now: float) -> None:
         for share in self._shares.values():
             self._set_fraction(share, now)
@@ -124,12 +174,20 @@
     def _set_fraction(self, share: _Share, now: float) -> None:
         name = share.terms.name
         count = len(self._peers) + 1
-        idle = IDLE_PART * share.terms.rate_per_s / count
-        own = self._own.demands.get(name, 0.0) + idle
-        total = own + sum(
-            report.demands.get(name, 0.0) + idle
-            for report in self._peers.values()
+        least = SLACK_USED * self._slack / count
+        share.bucket.set_least_capacity(least, now)
+        even = share.terms.rate_per_s / count
+        idle = IDLE_PART * even
+        demand = min(
+            self._own.demands.get(name, 0.0), self._known.demands.get(name, 0.0)
         )
+        own = demand + idle
+        total = own
+        for report in self._peers.values():
+            if report is None:
+                total += max(own, idle)
+            else:
+                total += report.demands.get(name, 0.0) + idle
         fraction = own / total if total > 0 else 1.0 / count
         if self._isolated:
             fraction = min(fraction, 1.0 / count) / 2
--- a/src/radishmux/steer/directory.py
+++ b/src/radishmux/steer/directory.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from radishmux.gateway.events import InstanceRecord
+from radishmux.membership.record import InstanceRecord
 
 # Answers name an instance for this long; short, so that callers of an
 # instance that dies soon ask again.
--- a/src/radishmux/store/mirror.py
+++ b/src/radishmux/store/mirror.py
@@ -23,9 +23,12 @@
 # A watch that is answered is not asked again before this time has passed, so
 # that a store whose entries change all the time is asked about once a second.
 MIN_INTERVAL_S = 0.8
-# Longest time that a watch waits for a change.
-MAX_WAIT_S = 10.0
-CALL_TIMEOUT_S = 1.5
+# Longest time that a watch waits for a change. A watch that was sent as the
+# store or its connection went silent hears nothing when they are back, so
+# that this bounds the time without news after their return.
+MAX_WAIT_S = 1.2
+CALL_TIMEOUT_S = 0.7
+LIST_TIMEOUT_S = 1.5
 # Pause after a failed call, with as much again at random, so that instances
 # do not return together.
 RETRY_PAUSE_S = 0.15
@@ -113,7 +116,7 @@
         """Makes one call and returns the pause before the next one."""
         asked_at = self._clock.now()
         if self._revision < 0:
-            answer = await self._store.list_keys(self._prefix, CALL_TIMEOUT_S)
+            answer = await self._store.list_keys(self._prefix, LIST_TIMEOUT_S)
         else:
             answer = await self._store.changes_after(
                 self._prefix, self._revision, MAX_WAIT_S, CALL_TIMEOUT_S
