Let peers of the region give tokens to requests that wait

Change: an instance without a token asks the two peers of its region with the least demand; they take what they give out of their own part first. Waits end after a quarter of a second. No tests of the new parts yet.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from radishmux.clock import SystemClock
+from radishmux.gateway.allowance import Allowance
 from radishmux.gateway.decision_log import DecisionLog
 from radishmux.gateway.events import (
     ConfigurationPut,
@@ -165,6 +166,9 @@
                 self._clock,
             )
         )
+        self._allowance = Allowance(
+            self._record, self._rates, bus, self._peers, self._clock
+        )
         self._state.watch(self._on_event)
         self._state.watch(self._rollouts.on_event)
         self._mirror = await stack.enter_async_context(
@@ -204,6 +208,7 @@
             placement,
             self._sender,
             self._rates,
+            self._allowance,
             self._budgets,
             dialect,
             clock,
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -9,6 +9,7 @@
 from radishmux.clock import Clock
 from radishmux.config.routing import CustomerTerms, HostRoute
 from radishmux.dispatch.http_client import NoResponse, ServerResponse
+from radishmux.gateway.allowance import Allowance
 from radishmux.gateway.call import Call, Dialect
 from radishmux.gateway.decision_log import DecisionLog
 from radishmux.gateway.fleet_state import FleetState
@@ -27,6 +28,8 @@
 
 # Time kept back for the way of the answer to the caller.
 ANSWER_MARGIN_S = 0.02
+# Longest wait for a token of a customer's rate.
+MAX_TOKEN_WAIT_S = 0.25
 # A repeatable request is tried elsewhere when its server takes this many
 # times as long as expected, and no sooner than the floor.
 PATIENCE_FACTOR = 3.0
@@ -102,7 +105,8 @@
         rollouts: Versions that requests may go to.
         placement: Chooses servers.
         sender: Sends requests to servers.
-        rates: Customers' allowances.
+        rates: This instance's parts of the customers' rates.
+        allowance: Takes tokens of them, here or from peers.
         budgets: Retries that are allowed.
         dialect: Headers of callers and servers.
         clock: Monotonic time.
@@ -116,6 +120,7 @@
         placement: Placement,
         sender: ServerSender,
         rates: FleetRates,
+        allowance: Allowance,
         budgets: RetryBudgets,
         dialect: Dialect,
         clock: Clock,
@@ -126,6 +131,7 @@
         self._placement = placement
         self._sender = sender
         self._rates = rates
+        self._allowance = allowance
         self._budgets = budgets
         self._dialect = dialect
         self._clock = clock
@@ -137,14 +143,14 @@
         call = self._dialect.read_call(request)
         if isinstance(call, Unavailable):
             return self._refuse(None, "malformed", detail=call.reason)
-        journey = self._admit(call)
+        journey = await self._admit(call)
         if isinstance(journey, Response):
             return journey
         return await self._serve(journey)
 
     # Admission.
 
-    def _admit(self, call: Call) -> Journey | Response:
+    async def _admit(self, call: Call) -> Journey | Response:
         routes = self._state.routes
         if routes is None:
             return self._refuse(call, "no_configuration", retry_after_s=0.5)
@@ -156,16 +162,11 @@
             customer = routes.customer_of(call.key or "")
             if customer is None:
                 return self._refuse(call, "unknown_key")
+        if customer is not None:
+            refusal = await self._take_token(call, route, customer)
+            if refusal is not None:
+                return refusal
         now = self._clock.now()
-        if customer is not None and not self._rates.take(customer, now):
-            wait_s = self._rates.wait_s(customer, now)
-            part = self._rates.fraction(customer.name)
-            detail = (
-                f"{customer.name}: {part:.3f} of {customer.rate_per_s:g}/s here"
-            )
-            return self._refuse(
-                call, "rate_exceeded", retry_after_s=wait_s, detail=detail
-            )
         patience_s = route.timeout_s
         if call.patience_s is not None:
             patience_s = min(patience_s, call.patience_s - ANSWER_MARGIN_S)
@@ -179,6 +180,22 @@
         self._budgets.first(journey.service, now)
         return journey
 
+    async def _take_token(
+        self, call: Call, route: HostRoute, customer: CustomerTerms
+    ) -> Response | None:
+        """Takes a token of a customer's rate, or returns a refusal."""
+        longest_s = min(MAX_TOKEN_WAIT_S, route.target_latency_s / 3)
+        if await self._allowance.take(customer, longest_s):
+            return None
+        part = self._rates.fraction(customer.name)
+        wait_s = self._rates.wait_s(customer, 0, self._clock.now())
+        detail = (
+            f"{customer.name}: {part:.3f} of {customer.rate_per_s:g}/s here"
+        )
+        return self._refuse(
+            call, "rate_exceeded", retry_after_s=wait_s, detail=detail
+        )
+
     # Attempts.
 
     async def _serve(self, journey: Journey) -> Response:
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -151,6 +151,19 @@
   6: list<RolloutView> rollouts,
 }
 
+// Asks a peer for tokens of a customer's rate, for requests that wait. The
+// peer takes what it grants out of its own part first, so that a lost message
+// loses tokens and never makes any.
+struct TokenRequest {
+  1: string customer,
+  2: double tokens,
+}
+
+struct TokenGrant {
+  1: string customer,
+  2: double tokens,
+}
+
 struct Done {
   1: bool accepted,
   2: string reason,
@@ -172,6 +185,8 @@
   13: Done done,
   14: VersionEvidence version_evidence,
   15: FleetReport fleet_report,
+  16: TokenRequest token_request,
+  17: TokenGrant token_grant,
 }
 
 struct Envelope {
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -90,9 +91,50 @@
         share.demand.note(now)
         return share.bucket.take(now)
 
-    def wait_s(self, customer: CustomerTerms, now: float) -> float:
-        """Returns the seconds until the next token, at most MAX_WAIT_S."""
-        return min(MAX_WAIT_S, self._share(customer, now).bucket.wait_s(now))
+    def take_again(self, customer: CustomerTerms, now: float) -> bool:
+        """Like `take`, for a request that was counted before."""
+        return self._share(customer, now).bucket.take(now)
+
+    def wait_s(self, customer: CustomerTerms, ahead: int, now: float) -> float:
+        """Returns the seconds until a token accrues, at most MAX_WAIT_S.
+
+        Args:
+            customer: The customer.
+            ahead: Requests that wait for a token already.
+            now: Monotonic seconds.
+        """
+        bucket = self._share(customer, now).bucket
+        return min(MAX_WAIT_S, bucket.wait_s(now, ahead))
+
+    def lenders(self, customer: str) -> list[str]:
+        """Returns the heard peers, those with the least demand first."""
+        heard = [
+            (report.demands.get(customer, 0.0), name)
+            for name, report in self._peers.items()
+            if report is not None
+        ]
+        return [name for _, name in sorted(heard)]
+
+    def give(self, customer: str, wanted: float, now: float) -> float:
+        """Takes tokens out of this instance's part for a peer.
+
+        Half of them stay, for callers of this instance.
+
+        Returns:
+            How many whole tokens the peer may use.
+        """
+        share = self._shares.get(customer)
+        if share is None:
+            return 0.0
+        share.bucket.advance(now)
+        spare = math.floor(share.bucket.tokens / 2)
+        return share.bucket.withdraw(min(float(spare), wanted), now)
+
+    def receive(self, customer: str, tokens: float, now: float) -> None:
+        """Adds tokens that a peer gave."""
+        share = self._shares.get(customer)
+        if share is not None:
+            share.bucket.put(tokens, now)
 
     def report(self, now: float) -> DemandReport:
         """Returns the demand for the peers.
--- a/src/radishmux/store/mirror.py
+++ b/src/radishmux/store/mirror.py
@@ -26,7 +26,7 @@
 # Longest time that a watch waits for a change. A watch that was sent as the
 # store or its connection went silent hears nothing when they are back, so
 # that this bounds the time without news after their return.
-MAX_WAIT_S = 1.2
+MAX_WAIT_S = 2.4
 CALL_TIMEOUT_S = 0.7
 LIST_TIMEOUT_S = 1.5
 # Pause after a failed call, with as much again at random, so that instances
