--- /dev/null
+++ b/tests/gateway/parts.py
@@ -0,0 +1,80 @@
+"""Builders of configurations, servers and calls for tests."""
+
+from __future__ import annotations
+
+from radishmux.config.routing import (
+    CustomerTerms,
+    Destination,
+    HostRoute,
+    RouteKind,
+    RoutingConfiguration,
+    ServiceTerms,
+)
+from radishmux.http.pipelined import IncomingRequest
+from radishmux.steer.servers import Server, ServerEntry
+
+REGIONS = {
+    "a-1": "a",
+    "a-2": "a",
+    "b-1": "b",
+    "b-2": "b",
+    "c-1": "c",
+    "c-2": "c",
+}
+
+
+def route(name="r", **fields):
+    values = {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": "/p/",
+        "kind": RouteKind.SAFE,
+        "destinations": (Destination(service="s", weight=1.0),),
+        "timeout_s": 1.0,
+        "target_latency_s": 0.4,
+        "max_attempts": 2,
+        "affinity": True,
+    }
+    return HostRoute(**(values | fields))
+
+
+def configuration(*routes, version=1, customers=(), services=("s",)):
+    return RoutingConfiguration(
+        version=version,
+        routes=routes or (route(),),
+        customers=customers,
+        services={
+            name: ServiceTerms(name=name, cold_start_s=3.0, cold_per_s=10.0)
+            for name in services
+        },
+    )
+
+
+def customer(name="c", **fields):
+    return CustomerTerms(name=name, **({"keys": ("key",)} | fields))
+
+
+def entry(name, domain="a-1", **fields):
+    values = {
+        "name": name,
+        "service": "s",
+        "address": "127.0.0.1:1",
+        "failure_domain": domain,
+        "version": "v1",
+        "slots": 4,
+    }
+    return ServerEntry(**(values | fields))
+
+
+def server(name, domain="a-1", now=-100.0, **fields):
+    return Server(entry(name, domain, **fields), REGIONS[domain], now)
+
+
+def request(
+    target="/p/1", host="h.example", received_at=0.0, method="GET", **headers
+):
+    fields = [("host", host), ("request-id", "id-1")]
+    fields += [
+        (name.replace("_", "-"), value) for name, value in headers.items()
+    ]
+    return IncomingRequest(method, target, fields, b"", received_at)
--- /dev/null
+++ b/tests/gateway/test_mirror.py
@@ -0,0 +1,95 @@
+"""Following the store through outages, silence and lost history."""
+
+from __future__ import annotations
+
+import asyncio
+
+import radishmux.store.mirror as mirror_module
+from radishmux.clock import SystemClock
+from radishmux.outcome import Unknown
+from radishmux.store.interface import Changes, HistoryLost, KeyChange
+from radishmux.store.mirror import StoreMirror
+
+
+class ScriptedStore:
+    """Gives the scripted answers; then waits for ever."""
+
+    def __init__(self, lists, watches):
+        self.lists = list(lists)
+        self.watches = list(watches)
+        self.asked = []
+
+    async def list_keys(self, prefix, timeout_s):
+        self.asked.append("list")
+        return self.lists.pop(0)
+
+    async def changes_after(self, prefix, revision, wait_s, timeout_s):
+        self.asked.append((revision, wait_s + timeout_s))
+        if not self.watches:
+            await asyncio.sleep(60)
+        return self.watches.pop(0)
+
+
+class Listener:
+    """Records what it is told."""
+
+    def __init__(self):
+        self.calls = []
+
+    def on_list(self, changes, now):
+        self.calls.append(("list", [one.key for one in changes]))
+
+    def on_change(self, change, now):
+        self.calls.append(("change", change.key))
+
+    def on_returned(self, now):
+        self.calls.append(("returned",))
+
+
+def changes(as_of, *names):
+    return Changes(tuple(KeyChange(name, b"", as_of) for name in names), as_of)
+
+
+async def follow(store, monkeypatch, until):
+    monkeypatch.setattr(mirror_module, "MIN_INTERVAL_S", 0.0)
+    monkeypatch.setattr(mirror_module, "RETRY_PAUSE_S", 0.01)
+    listener = Listener()
+    async with StoreMirror(store, "", listener, SystemClock()) as mirror:
+        async with asyncio.timeout(5):
+            while len(listener.calls) < until:
+                await asyncio.sleep(0.01)
+    return listener.calls, mirror
+
+
+async def test_changes_follow_the_list(monkeypatch):
+    store = ScriptedStore([changes(5, "a")], [changes(7, "b", "c")])
+    calls, mirror = await follow(store, monkeypatch, 3)
+    assert calls == [("list", ["a"]), ("change", "b"), ("change", "c")]
+    assert mirror.revision == 7
+
+
+async def test_lost_history_is_read_anew(monkeypatch):
+    store = ScriptedStore(
+        [changes(5, "a"), changes(9, "z")], [HistoryLost("gone")]
+    )
+    calls, _ = await follow(store, monkeypatch, 2)
+    assert calls == [("list", ["a"]), ("list", ["z"])]
+
+
+async def test_return_after_an_outage_is_told_before_the_changes(monkeypatch):
+    store = ScriptedStore(
+        [changes(5, "a")], [Unknown("silent"), changes(6, "b")]
+    )
+    calls, _ = await follow(store, monkeypatch, 3)
+    assert calls == [("list", ["a"]), ("returned",), ("change", "b")]
+
+
+async def test_silent_watch_ends_within_the_bound_on_news(monkeypatch):
+    """A watch sent as the store went silent hears nothing when it is back.
+
+    Instances count as in touch four seconds after its return.
+    """
+    store = ScriptedStore([changes(5)], [changes(6, "b")])
+    await follow(store, monkeypatch, 2)
+    longest_s = max(asked[1] for asked in store.asked if asked != "list")
+    assert longest_s < 4.0
--- /dev/null
+++ b/tests/gateway/test_pipelined.py
@@ -0,0 +1,227 @@
+"""Callers' connections: order, limits, leaving and shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from radishmux.config.routing import CallerLimits
+from radishmux.http._response import Response
+from radishmux.http.pipelined import PipelinedServer
+
+LIMITS = CallerLimits(
+    max_header_bytes=2_000,
+    max_body_bytes=1_000,
+    header_timeout_s=0.2,
+    idle_timeout_s=5.0,
+)
+
+
+async def echo(request):
+    return Response(200, [("X-Target", request.target)], request.body)
+
+
+class Caller:
+    """A raw connection to a server."""
+
+    def __init__(self, server):
+        self._address = server.address.rpartition(":")
+
+    async def __aenter__(self):
+        host, _, port = self._address
+        self.reader, self.writer = await asyncio.open_connection(
+            host, int(port)
+        )
+        return self
+
+    async def __aexit__(self, *exc):
+        self.writer.close()
+
+    async def answer(self):
+        head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 5)
+        lines = head.decode().split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+        body = await self.reader.readexactly(
+            int(fields.get("content-length", 0))
+        )
+        return int(lines[0].split()[1]), fields, body
+
+
+def serve(handler=echo, limits=LIMITS, **options):
+    return PipelinedServer("127.0.0.1:0", handler, limits, **options)
+
+
+async def test_answers_come_in_the_order_of_the_requests():
+    release = asyncio.Event()
+    started = []
+
+    async def handler(request):
+        started.append(request.target)
+        if request.target == "/slow":
+            await release.wait()
+        return await echo(request)
+
+    async with serve(handler) as server, Caller(server) as caller:
+        caller.writer.write(
+            b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
+            b"GET /fast HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        while len(started) < 2:
+            await asyncio.sleep(0.01)
+        release.set()
+        first = await caller.answer()
+        second = await caller.answer()
+    assert started == ["/slow", "/fast"]
+    assert first[1]["x-target"] == "/slow"
+    assert second[1]["x-target"] == "/fast"
+
+
+async def test_body_in_chunks_is_joined():
+    async with serve() as server, Caller(server) as caller:
+        caller.writer.write(
+            b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        status, _, body = await caller.answer()
+    assert (status, body) == (200, b"abcde")
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"rubbish\r\n\r\n", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n"
+            b"\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n",
+            413,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3ea\r\n" + b"x" * 1002,
+            413,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 3000, 431),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n", 408),
+    ],
+    ids=[
+        "no-http",
+        "two-framings",
+        "two-lengths",
+        "unknown-coding",
+        "long-body",
+        "long-chunks",
+        "long-header",
+        "slow-header",
+    ],
+)
+async def test_unreadable_request_is_refused(request_bytes, status):
+    reasons = []
+    seen = []
+
+    async def handler(request):
+        seen.append(request.target)
+        return await echo(request)
+
+    async with (
+        serve(handler, on_rejected=reasons.append) as server,
+        Caller(server) as caller,
+    ):
+        caller.writer.write(request_bytes)
+        answer = await caller.answer()
+        rest = await asyncio.wait_for(caller.reader.read(), 5)
+    assert answer[0] == status
+    assert answer[1]["connection"] == "close"
+    assert rest == b""
+    assert len(reasons) == 1
+    assert seen == []
+
+
+async def test_answer_before_an_unreadable_request_is_delivered():
+    async with serve() as server, Caller(server) as caller:
+        caller.writer.write(
+            b"GET /good HTTP/1.1\r\nHost: a\r\n\r\nrubbish\r\n\r\n"
+        )
+        first = await caller.answer()
+        second = await caller.answer()
+    assert first[0] == 200
+    assert second[0] == 400
+
+
+async def test_caller_that_leaves_cancels_its_request():
+    started = asyncio.Event()
+    cancelled = asyncio.Event()
+
+    async def handler(request):
+        started.set()
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async with serve(handler) as server:
+        async with Caller(server) as caller:
+            caller.writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await asyncio.wait_for(started.wait(), 5)
+        await asyncio.wait_for(cancelled.wait(), 0.5)
+
+
+async def test_drain_answers_what_runs_and_closes_the_rest():
+    release = asyncio.Event()
+    started = asyncio.Event()
+
+    async def handler(request):
+        started.set()
+        await release.wait()
+        return await echo(request)
+
+    async with serve(handler) as server:
+        async with Caller(server) as idle, Caller(server) as busy:
+            busy.writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await asyncio.wait_for(started.wait(), 5)
+            server.drain()
+            assert await asyncio.wait_for(idle.reader.read(), 5) == b""
+            release.set()
+            status, fields, _ = await busy.answer()
+            assert await asyncio.wait_for(busy.reader.read(), 5) == b""
+    assert status == 200
+    assert fields["connection"] == "close"
+
+
+async def test_answer_to_head_has_no_body():
+    async with serve() as server, Caller(server) as caller:
+        caller.writer.write(
+            b"HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n"
+            b"GET /b HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        status, fields, _ = await caller.answer()
+    assert head.startswith(b"HTTP/1.1 200")
+    assert fields["x-target"] == "/b"
+    assert status == 200
+
+
+async def test_failure_of_the_handler_is_an_answer():
+    async def handler(request):
+        raise RuntimeError("broken")
+
+    async with serve(handler) as server, Caller(server) as caller:
+        caller.writer.write(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+        status, fields, _ = await caller.answer()
+    assert status == 500
+    assert fields["connection"] == "close"
--- /dev/null
+++ b/tests/membership/test_peers.py
@@ -0,0 +1,85 @@
+"""Which instances callers are sent to."""
+
+from __future__ import annotations
+
+from radishmux.membership.peers import SILENT_AFTER_S, Peers
+from radishmux.membership.record import InstanceRecord
+from radishmux.steer.directory import nearest
+
+
+def record(name, incarnation=1, domain="a-1"):
+    return InstanceRecord(
+        instance=name,
+        incarnation=incarnation,
+        region=domain[0],
+        failure_domain=domain,
+        caller_address=f"{name}:1",
+        peer_address=f"{name}:2",
+    )
+
+
+def usable(peers, now):
+    return {one.instance for one in peers.usable(now)}
+
+
+def make(now=0.0):
+    peers = Peers(record("own"))
+    peers.set_records([record("own"), record("x"), record("y")], now)
+    return peers
+
+
+def test_heard_peer_is_named_until_it_falls_silent():
+    peers = make()
+    peers.heard("x", 1, False, 10.0)
+    assert usable(peers, 10.0 + SILENT_AFTER_S - 0.1) == {"x"}
+    assert usable(peers, 10.0 + SILENT_AFTER_S + 0.1) == set()
+
+
+def test_leaving_peer_is_not_named():
+    peers = make()
+    peers.heard("x", 1, True, 10.0)
+    assert usable(peers, 10.0) == set()
+
+
+def test_refused_connection_ends_a_peer_until_it_is_heard():
+    peers = make()
+    peers.heard("x", 1, False, 10.0)
+    peers.refused("x")
+    assert usable(peers, 10.1) == set()
+    peers.heard("x", 2, False, 10.2)
+    assert usable(peers, 10.3) == {"x"}
+
+
+def test_report_of_an_old_process_is_dropped():
+    peers = make()
+    peers.set_records([record("x", incarnation=5)], 1.0)
+    assert not peers.heard("x", 4, False, 2.0)
+    assert peers.heard("x", 5, False, 2.0)
+
+
+def test_unregistered_peer_is_not_named():
+    peers = make()
+    peers.heard("x", 1, False, 10.0)
+    peers.set_records([record("y")], 10.1)
+    assert "x" not in usable(peers, 10.2)
+
+
+def test_isolation_needs_peers():
+    alone = Peers(record("own"))
+    assert not alone.is_isolated(0.0)
+    peers = make()
+    assert peers.is_isolated(10.0)
+    peers.heard("x", 1, False, 10.0)
+    assert not peers.is_isolated(10.1)
+
+
+def test_callers_are_sent_to_the_nearest_instances():
+    known = [
+        record("1", domain="a-1"),
+        record("2", domain="a-2"),
+        record("3", domain="b-1"),
+    ]
+    assert [one.instance for one in nearest(known, "a", "a-2")] == ["2"]
+    assert [one.instance for one in nearest(known, "a", "a-3")] == ["1", "2"]
+    assert len(nearest(known, "z", "z-1")) == 3
+    assert nearest([], "a", "a-1") == []
--- /dev/null
+++ b/tests/share/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package with the same name."""
--- /dev/null
+++ b/tests/share/test_fleet_rate.py
@@ -0,0 +1,138 @@
+"""Parts of customers' rates over instances that know each other late."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from radishmux.share.fleet_rate import FleetRates
+from tests.gateway.parts import customer
+
+REPORT_S = 0.5
+
+
+class Fleet:
+    """Instances that exchange reports with a delay."""
+
+    def __init__(self, count, terms, slack=20.0):
+        self.terms = terms
+        self.now = 0.0
+        self.nodes = {f"i{n}": FleetRates(0.1, slack) for n in range(count)}
+        for name, node in self.nodes.items():
+            node.set_instances(set(self.nodes) - {name}, 0.0)
+            node.set_customers((terms,), 0.0)
+
+    def exchange(self):
+        reports = {
+            name: node.report(self.now) for name, node in self.nodes.items()
+        }
+        for name, node in self.nodes.items():
+            for other, report in reports.items():
+                if other != name:
+                    node.take_report(other, report, self.now)
+
+    def run(self, seconds, demand, rng):
+        """Returns the times of the admitted requests."""
+        admitted = []
+        end = self.now + seconds
+        next_report = self.now
+        step = 0.01
+        while self.now < end:
+            if self.now >= next_report:
+                self.exchange()
+                next_report += REPORT_S
+            for name, rate in demand.items():
+                if rng.random() < rate * step and self.nodes[name].take(
+                    self.terms, self.now
+                ):
+                    admitted.append(self.now)
+            self.now += step
+        return admitted
+
+
+def most_in_window(times, window_s):
+    most = start = 0
+    for end, at in enumerate(times):
+        while at - times[start] > window_s:
+            start += 1
+        most = max(most, end - start + 1)
+    return most
+
+
+def allowed(terms, window_s=5.0, overrun=0.1, slack=20.0):
+    """The users' bound on what runs in a window."""
+    return (terms.rate_per_s * window_s + terms.burst) * (1 + overrun) + slack
+
+
+def test_customer_that_sends_many_times_its_rate_keeps_to_it():
+    """The load of `hot_tenant`: all instances see the growth at once."""
+    terms = customer(rate_per_s=100.0, burst=100.0)
+    fleet = Fleet(10, terms)
+    rng = random.Random(1)
+    calm = dict.fromkeys(fleet.nodes, 6.0)
+    hot = dict.fromkeys(fleet.nodes, 75.0)
+    times = fleet.run(10.0, calm, rng)
+    times += fleet.run(10.0, hot, rng)
+    assert most_in_window(times, 5.0) <= allowed(terms)
+
+
+def test_demand_that_moves_between_instances_keeps_to_the_rate():
+    """The load of `shift`: callers move from one domain to another."""
+    terms = customer(rate_per_s=60.0, burst=60.0)
+    fleet = Fleet(6, terms)
+    rng = random.Random(2)
+    times = []
+    for turn in range(6):
+        demand = dict.fromkeys(fleet.nodes, 1.0)
+        demand[f"i{turn}"] = 200.0
+        times += fleet.run(2.0, demand, rng)
+    assert most_in_window(times, 5.0) <= allowed(terms)
+
+
+def test_skewed_demand_below_the_rate_is_admitted():
+    terms = customer(rate_per_s=60.0, burst=60.0)
+    fleet = Fleet(10, terms)
+    demand = dict.fromkeys(fleet.nodes, 0.5) | {"i3": 30.0}
+    fleet.run(5.0, demand, random.Random(3))
+    counted = fleet.run(10.0, demand, random.Random(4))
+    wanted = 10.0 * sum(demand.values())
+    assert len(counted) >= 0.95 * wanted
+
+
+def test_isolated_instance_takes_less_than_an_even_part():
+    terms = customer(rate_per_s=100.0, burst=100.0)
+    fleet = Fleet(10, terms)
+    node = fleet.nodes["i0"]
+    for name in fleet.nodes.keys() - {"i0"}:
+        node.set_silent(name, 0.0)
+    node.set_isolated(True, 0.0)
+    assert node.fraction("c") <= 0.1
+
+
+@given(
+    st.lists(st.floats(0.0, 50.0), min_size=2, max_size=6),
+    st.integers(1, 30),
+)
+def test_tokens_of_peers_are_conserved(tokens, wanted):
+    terms = customer(rate_per_s=10.0, burst=1000.0)
+    fleet = Fleet(len(tokens), terms)
+    nodes = list(fleet.nodes.values())
+
+    def total():
+        return sum(node._shares["c"].bucket.tokens for node in nodes)
+
+    for node, count in zip(nodes, tokens, strict=True):
+        node.receive("c", count, 0.0)
+    before = total()
+    given_tokens = nodes[1].give("c", float(wanted), 0.0)
+    nodes[0].receive("c", given_tokens, 0.0)
+    assert total() <= before + 1e-6
+    assert given_tokens <= wanted
+    assert nodes[1]._shares["c"].bucket.tokens >= 0.0
+
+
+def test_customer_without_a_limit_is_not_counted():
+    node = FleetRates()
+    assert all(node.take(customer(), 0.0) for _ in range(1000))
--- /dev/null
+++ b/tests/steer/test_placement.py
@@ -0,0 +1,198 @@
+"""Where requests go under load: patterns that overloaded earlier versions."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishmux.steer.move_budget import MoveBudget, SpillGate
+from radishmux.steer.object_places import (
+    OTHER_CANDIDATES,
+    OWN_CANDIDATES,
+    Level,
+    ObjectPlaces,
+)
+from radishmux.steer.placement import Demand, Placement
+from tests.gateway.parts import server
+from tests.steer.warm_fleet import WarmFleet, WarmServer
+
+DOMAINS = ("a-1", "a-2", "b-1", "b-2", "c-1", "c-2")
+# Operators bound the part of a region's requests that changes the region in
+# which it runs from one window of 2 s to the next.
+MAX_SHIFT = 0.15
+
+
+def warm_servers(per_domain=2, slots=4, keeps=21):
+    return [
+        WarmServer(f"{domain}-{n}", domain, slots, keeps)
+        for domain in DOMAINS
+        for n in range(per_domain)
+    ]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_thrashing_caches_under_load(seed):
+    """Load at two thirds of what warm servers carry, twice what cold ones do.
+
+    Requests that leave their busy home run cold elsewhere and push other
+    objects out; spread over all servers, the fleet stays cold and late.
+    """
+    fleet = WarmFleet(warm_servers(), DOMAINS, seed)
+    rate = 0.66 * 12 * 4 / fleet.warm_s
+    fleet.play(20.0, rate, objects=24, routes=("r", "r2", "r3"))
+    assert fleet.share_in_time(10.0, 20.0) > 0.8
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_cold_start_of_the_whole_fleet(seed):
+    """Every object is cold everywhere, at the load of an ordinary day."""
+    fleet = WarmFleet(warm_servers(), DOMAINS, seed)
+    fleet.play(10.0, 60.0, objects=24)
+    assert fleet.share_in_time(4.0, 10.0) > 0.8
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_region_with_a_fraction_of_the_room_it_needs(seed):
+    """One region's servers carry a third of its callers' requests."""
+    # Wide servers, so that a window holds enough requests to tell a move
+    # from chance.
+    servers = [
+        one
+        for one in warm_servers(per_domain=3, slots=32)
+        if one.record.region != "a" or one.record.name.endswith("-0")
+    ]
+    fleet = WarmFleet(servers, DOMAINS, seed)
+    fleet.play(24.0, 720.0, objects=24)
+    assert fleet.share_in_time(8.0, 24.0) > 0.8
+    for start in range(4, 20, 2):
+        windows = []
+        for since in (start, start + 2):
+            regions = [
+                one[3]
+                for one in fleet.taken
+                if one[2] == "a" and since <= one[0] < since + 2
+            ]
+            windows.append(
+                {name: regions.count(name) / len(regions) for name in "abc"}
+            )
+        moved = sum(abs(windows[0][n] - windows[1][n]) for n in "abc") / 2
+        # Chance moves part of the requests of a small sample.
+        assert moved <= MAX_SHIFT + 0.1
+
+
+def test_object_goes_to_few_servers():
+    records = tuple(one.record for one in warm_servers(per_domain=5))
+    places = ObjectPlaces("a", 0.0)
+    used = places.place(7, records).homes.candidates
+    regions = [one.region for one in used]
+    assert regions.count("a") == OWN_CANDIDATES
+    assert regions.count("b") == regions.count("c") == OTHER_CANDIDATES
+
+
+def test_all_instances_start_with_the_same_server():
+    records = tuple(one.record for one in warm_servers())
+    homes = {
+        ObjectPlaces(region, 0.0).place(7, records).home.name
+        for region in "abc"
+    }
+    assert len(homes) == 1
+
+
+def test_lost_server_moves_only_its_own_objects():
+    records = tuple(one.record for one in warm_servers())
+    places = ObjectPlaces("a", 0.0)
+    before = {key: places.place(key, records).home.name for key in range(200)}
+    kept = records[1:]
+    for key, name in before.items():
+        after = places.place(key, kept).home.name
+        assert after == name or name == records[0].name
+
+
+def test_object_moves_nearer_after_some_requests():
+    records = tuple(one.record for one in warm_servers())
+    places = ObjectPlaces("a", 0.0)
+    for key in range(50):
+        places.place(key, records)
+    key = next(
+        key
+        for key in range(100)
+        if places.place(key, records).home.region != "a"
+    )
+    place = places.place(key, records)
+    now = 0.0
+    while place.home.region != "a":
+        now += 0.5
+        places.note(place, 0, now)
+        assert now < 20.0
+    assert place.level is Level.REGION
+
+
+def test_moves_keep_to_their_rate():
+    budget = MoveBudget(0.0)
+    moved = sum(budget.take(0.01, n * 0.01) for n in range(1000)) * 0.01
+    # Ten seconds, in which five windows of the operators' bound fit.
+    assert moved <= MAX_SHIFT * 5
+
+
+def test_spill_follows_the_wish_slowly_both_ways():
+    gate = SpillGate(0.0)
+    now = 0.0
+    first = []
+    for _ in range(200):
+        now += 0.01
+        first.append(gate.allow(True, now))
+    assert sum(first) / len(first) <= MAX_SHIFT
+    allowed = gate.allowed
+    later = []
+    for _ in range(400):
+        now += 0.01
+        gate.allow(False, now)
+        later.append(gate.allowed)
+    steps = [a - b for a, b in zip(later, later[1:], strict=False)]
+    assert later[-1] < allowed
+    assert max(steps) <= MAX_SHIFT / 200
+
+
+def test_paused_server_gets_nothing():
+    placement = Placement("a", "a-1")
+    records = (server("x"), server("y"))
+    placement.state("x").unreachable(10.0)
+    demand = Demand("s", "r", None, frozenset())
+    for n in range(20):
+        choice = placement.choose(
+            demand, records, lambda one: True, 10.0 + n * 0.01
+        )
+        assert choice.server.name == "y"
+
+
+def test_failing_server_is_avoided_and_tried_again():
+    placement = Placement("a", "a-1")
+    records = (server("x"), server("y"))
+    for _ in range(10):
+        placement.state("x").failed(10.0)
+    demand = Demand("s", "r", None, frozenset())
+
+    def choose(now):
+        return placement.choose(demand, records, lambda one: True, now)
+
+    assert choose(10.1).server.name == "y"
+    placement.state("y").in_flight = 20
+    assert choose(60.0).server.name == "x"
+
+
+def test_slow_server_is_avoided():
+    placement = Placement("a", "a-1")
+    records = (server("x"), server("y"))
+    for _ in range(5):
+        placement.state("x").served(8.0, None, 10.0)
+    demand = Demand("s", "r", None, frozenset())
+    choice = placement.choose(demand, records, lambda one: True, 10.1)
+    assert choice.server.name == "y"
+
+
+def test_home_regions_are_kept():
+    placement = Placement("a", "a-1")
+    records = (server("x", "b-1"),)
+    demand = Demand("s", "r", 5, frozenset({"b"}))
+    choice = placement.choose(demand, records, lambda one: True, 0.0)
+    assert choice.server.name == "x"
+    assert placement.choose(demand, (), lambda one: True, 0.0) is None
