--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -23,7 +23,8 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
-from radishmux.http.pipelined import PipelinedServer
+from radishmux.http.pipelined import IncomingRequest, PipelinedServer
+from radishmux.http.response import Response
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.membership.registrar import Registrar
@@ -41,6 +42,7 @@
 from radishmux.telemetry import logs
 from radishmux.telemetry.log_stream import BoundedLogStream
 from radishmux.telemetry.logs import state_change
+from radishmux.telemetry.metrics import Metrics
 
 HOUSEKEEPING_PERIOD_S = 0.25
 _DRAIN_POLL_S = 0.05
@@ -58,6 +60,7 @@
         self._settings = settings
         self._stack = contextlib.AsyncExitStack()
         self._clock = SystemClock()
+        self._metrics = Metrics()
         self._leaving = False
         self._record = InstanceRecord(
             instance=settings.instance,
@@ -197,10 +200,14 @@
             self._rollouts,
             dialect,
             clock,
+            self._metrics,
         )
         stack.push_async_callback(self._sender.close)
         log = DecisionLog(
-            self._stream, settings.instance, lambda: self._version
+            self._stream,
+            settings.instance,
+            lambda: self._version,
+            self._metrics,
         )
         flow = RequestFlow(
             self._state,
@@ -220,7 +227,10 @@
         for address, handler in (
             (listen.ready, ready.handle),
             (listen.directory, directory.handle),
+            (listen.metrics, self._metrics_page),
         ):
+            if not address:
+                continue
             await stack.enter_async_context(PipelinedServer(address, handler))
         self._callers = await stack.enter_async_context(
             PipelinedServer(
@@ -243,8 +253,23 @@
         return names.index(self._settings.instance)
 
     def _on_rejected(self, reason: str) -> None:
+        self._metrics.count("gateway_unreadable_total", reason=reason)
         state_change("request", "unreadable", "WARNING", reason=reason)
 
+    async def _metrics_page(self, request: IncomingRequest) -> Response:
+        """Answers with the metrics as Prometheus reads them."""
+        now = self._clock.now()
+        metrics = self._metrics
+        metrics.set("gateway_store_calls", self._store.calls)
+        age_s = self._mirror.contact_age_s(now)
+        metrics.set("gateway_store_contact_age_seconds", age_s)
+        servers = sum(1 for _ in self._state.servers.all())
+        metrics.set("gateway_servers", servers)
+        metrics.set("gateway_peers_heard", self._peers.heard_count(now))
+        metrics.set("gateway_log_lines_dropped", self._stream.dropped)
+        body, content_type = metrics.render()
+        return Response(200, [("Content-Type", content_type)], body)
+
     def _on_event(self, event: Event, now: float) -> None:
         if isinstance(event, ConfigurationPut) and self._state.routes:
             configuration = self._state.routes.configuration
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -6,8 +6,8 @@
 from typing import Protocol
 
 from radishmux.dispatch.http_client import ServerResponse
-from radishmux.http._response import Response
 from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.steer.server_state import LoadReport
 from radishmux.verdict import Refusal, Verdict
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from radishmux.gateway.call import Call
 from radishmux.telemetry.log_stream import BoundedLogStream
+from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Refusal
 
 if TYPE_CHECKING:
@@ -24,24 +26,24 @@
         stream: Takes the lines.
         instance: Recorded with each line.
         config_version: Returns the version of the configuration in force.
+        metrics: Takes counters and latencies.
     """
 
     def __init__(
-        self, stream: BoundedLogStream, instance: str, config_version: Any
+        self,
+        stream: BoundedLogStream,
+        instance: str,
+        config_version: Callable[[], int],
+        metrics: Metrics,
     ) -> None:
         self._stream = stream
         self._instance = instance
         self._config_version = config_version
-        self._counts: dict[str, int] = {}
-
-    @property
-    def counts(self) -> dict[str, int]:
-        """Ended requests by outcome."""
-        return self._counts
+        self._metrics = metrics
 
     def answered(self, journey: Journey, status: int, now: float) -> None:
         """Records an answer of a backend server."""
-        self._count(f"status_{status}")
+        self._count(journey.call, journey, "answered", status, now)
         self._write(journey.call, journey, f"answered {status}", "", now)
 
     def refused(
@@ -52,12 +54,30 @@
         now: float,
     ) -> None:
         """Records an answer of the system itself."""
-        self._count(refusal.reason)
+        self._count(call, journey, refusal.reason, refusal.status, now)
         outcome = f"{refusal.reason} {refusal.status}"
         self._write(call, journey, outcome, refusal.message, now)
 
-    def _count(self, outcome: str) -> None:
-        self._counts[outcome] = self._counts.get(outcome, 0) + 1
+    def _count(
+        self,
+        call: Call | None,
+        journey: Journey | None,
+        outcome: str,
+        status: int,
+        now: float,
+    ) -> None:
+        route = journey.route.name if journey is not None else ""
+        self._metrics.count(
+            "gateway_requests_total",
+            route=route,
+            outcome=outcome,
+            status=status,
+        )
+        if call is not None:
+            took_s = now - call.received_at
+            self._metrics.observe(
+                "gateway_request_seconds", took_s, route=route
+            )
 
     def _write(
         self,
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -17,8 +17,8 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import Attempt, ServerSender
-from radishmux.http._response import Response
 from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.shift.rollout import VersionRule
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -18,6 +18,7 @@
 from radishmux.steer.cold_pace import ColdPaces
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.servers import Server
+from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
 
 
@@ -66,6 +67,7 @@
         rollouts: Take the outcomes of versions.
         dialect: Headers of servers.
         clock: Monotonic time.
+        metrics: Takes the outcomes of attempts.
     """
 
     def __init__(
@@ -76,7 +78,9 @@
         rollouts: Rollouts,
         dialect: Dialect,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._state = state
         self._placement = placement
         self._paces = paces
@@ -100,6 +104,19 @@
 
     async def send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         """Sends a request once; a response tells that it has run."""
+        outcome = await self._send(attempt)
+        if isinstance(outcome, NoResponse):
+            name = outcome.reason
+        else:
+            name = f"status {outcome.status}"
+        self._metrics.count(
+            "gateway_attempts_total",
+            service=attempt.choice.server.entry.service,
+            outcome=name,
+        )
+        return outcome
+
+    async def _send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         server = attempt.choice.server
         state = self._placement.state(server.name)
         now = self._clock.now()
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -18,7 +18,7 @@
 from loguru import logger
 
 from radishmux.config.routing import CallerLimits
-from radishmux.http._response import INVALID_REQUESTS, Response, render_head
+from radishmux.http.response import INVALID_REQUESTS, Response, render_head
 
 # Requests of one connection that are worked on at the same time; further
 # ones wait in the connection.
--- a/src/radishmux/membership/peers.py
+++ b/src/radishmux/membership/peers.py
@@ -91,6 +91,10 @@
             and now - peer.heard_at < SILENT_AFTER_S
         )
 
+    def heard_count(self, now: float) -> int:
+        """Returns how many peers have been heard lately."""
+        return sum(self.is_heard(name, now) for name in self._records)
+
     def is_isolated(self, now: float) -> bool:
         """Whether there are peers and none of them has been heard lately."""
         return bool(self._records) and not any(
--- a/src/radishmux/platform/directory.py
+++ b/src/radishmux/platform/directory.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from radishmux.http._response import Response
 from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.response import Response
 from radishmux.membership.record import InstanceRecord
 
 RESOLVE_PATH = "/api/resolve"
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import msgspec
 
 from radishmux.settings.daemon import LogSettings
+from radishmux.settings.loader import load
 
 
 class _Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -19,12 +22,14 @@
         ready: Readiness checks of the platform.
         directory: Questions of callers which instance to use.
         peer_ports: First and last port that is free for instances.
+        metrics: Counters and histograms for Prometheus; empty: none.
     """
 
     caller: str
     ready: str
     directory: str
     peer_ports: tuple[int, int]
+    metrics: str = ""
 
 
 class GatewayStore(_Settings, kw_only=True):
@@ -103,3 +108,15 @@
     cpu_share: float = 1.0
     link_mbps: float = 1_000.0
     logs: LogSettings = LogSettings()
+
+
+def load_gateway(path: pathlib.Path) -> GatewaySettings:
+    """Returns the settings in a file.
+
+    The platform renders the file from a template; what it does not know is
+    null there, and the default counts.
+
+    Raises:
+        SettingsError: The file cannot be read or does not fit.
+    """
+    return load(path, GatewaySettings, null_is_missing=True)
--- a/src/radishmux/settings/loader.py
+++ b/src/radishmux/settings/loader.py
@@ -17,13 +17,17 @@
     """A file that cannot be used: file, path, value and what is allowed."""
 
 
-def parse(text: str, kind: type[T], source: str) -> T:
+def parse(
+    text: str, kind: type[T], source: str, null_is_missing: bool = False
+) -> T:
     """Returns `text` as an instance of `kind`.
 
     Args:
         text: JSON with comments and trailing commas.
         kind: A msgspec Struct class.
         source: Name of the file, for the message.
+        null_is_missing: Whether a field that is null counts as not given, as
+            in files that were rendered from a template.
 
     Raises:
         SettingsError: The text is no JSON or does not fit `kind`.
@@ -32,6 +36,8 @@
         document = json5.loads(text)
     except ValueError as error:
         raise SettingsError(f"{source}: not valid JSON: {error}") from error
+    if null_is_missing:
+        document = _without_nulls(document)
     try:
         return msgspec.convert(document, kind)
     except msgspec.ValidationError as error:
@@ -48,7 +54,17 @@
     return str(problem)
 
 
-def load(path: pathlib.Path, kind: type[T]) -> T:
+def _without_nulls(document: Any) -> Any:
+    if isinstance(document, dict):
+        return {
+            name: _without_nulls(value)
+            for name, value in document.items()
+            if value is not None
+        }
+    return document
+
+
+def load(path: pathlib.Path, kind: type[T], null_is_missing: bool = False) -> T:
     """Returns the file's content as an instance of `kind`.
 
     Raises:
@@ -58,4 +74,4 @@
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    return parse(text, kind, str(path))
+    return parse(text, kind, str(path), null_is_missing)
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -117,6 +117,36 @@
     ),
 )
 
+_GATEWAY = (
+    _counter(
+        "gateway_requests_total",
+        "Answers to callers of a gateway; outcome is 'answered' or the"
+        " refusal's reason.",
+        "route",
+        "outcome",
+        "status",
+    ),
+    _histogram(
+        "gateway_request_seconds",
+        "Time from a request's header to its answer.",
+        "route",
+    ),
+    _counter(
+        "gateway_attempts_total",
+        "Requests to backend servers by outcome.",
+        "service",
+        "outcome",
+    ),
+    _counter(
+        "gateway_unreadable_total", "Requests that could not be read.", "reason"
+    ),
+    _gauge("gateway_store_calls", "Calls to the store since the start."),
+    _gauge("gateway_store_contact_age_seconds", "Age of the store's answer."),
+    _gauge("gateway_servers", "Backend servers known."),
+    _gauge("gateway_peers_heard", "Instances heard lately."),
+    _gauge("gateway_log_lines_dropped", "Log lines dropped since the start."),
+)
+
 _SHARES = (
     _gauge("roster_weight", "Weight of this instance, of 10,000."),
     _counter(
@@ -277,6 +307,7 @@
 
 METRICS: tuple[Metric, ...] = (
     *_REQUESTS,
+    *_GATEWAY,
     *_SHARES,
     *_ONCE,
     *_DISPATCH,
--- a/tests/gateway/test_pipelined.py
+++ b/tests/gateway/test_pipelined.py
@@ -7,8 +7,8 @@
 import pytest
 
 from radishmux.config.routing import CallerLimits
-from radishmux.http._response import Response
 from radishmux.http.pipelined import PipelinedServer
+from radishmux.http.response import Response
 
 LIMITS = CallerLimits(
     max_header_bytes=2_000,
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -19,6 +19,7 @@
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.shift.rollout import ANY_VERSION
 from radishmux.steer.placement import Placement
+from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
 from tests.gateway import parts
 
@@ -98,7 +99,7 @@
         budgets,
         dialect,
         SystemClock(),
-        DecisionLog(lines, "i1", lambda: 1),
+        DecisionLog(lines, "i1", lambda: 1, Metrics()),
     )
     return flow, lines
 
