Test whole gateway daemons beside stand-ins of the platform

Change: stand-ins of the platform's store and of a backend server; tests with processes for keys, lost answers, draining, outages, lost history, the directory after a kill, SIGTERM, settings and metrics; radishctl request explains a request from log files.

--- a/src/radishmux/cli/main.py
+++ b/src/radishmux/cli/main.py
@@ -9,6 +9,7 @@
     inspect_commands,
     key_commands,
     label_commands,
+    request_commands,
     settings_commands,
     shift_commands,
 )
@@ -34,6 +35,7 @@
 app.command()(inspect_commands.status)
 app.command()(inspect_commands.explain)
 app.command()(inspect_commands.report)
+app.command()(request_commands.request)
 
 
 def main() -> None:
--- a/src/radishmux/cli/settings_commands.py
+++ b/src/radishmux/cli/settings_commands.py
@@ -11,6 +11,7 @@
 from radishmux.cli.output import TEXT, Output, emit
 from radishmux.cli.schema import SCHEMAS, schema_of, write_schemas
 from radishmux.settings.daemon import DaemonSettings
+from radishmux.settings.gateway import load_gateway
 from radishmux.settings.loader import SettingsError, load
 
 app = typer.Typer(no_args_is_help=True, help="Settings of radishmuxd.")
@@ -19,11 +20,14 @@
 @app.command()
 def check(
     file: Annotated[pathlib.Path, typer.Argument(help="Settings file.")],
+    gateway: Annotated[
+        bool, typer.Option("--gateway", help="Of the gateway daemon.")
+    ] = False,
     output: Output = TEXT,
 ) -> None:
     """Checks a settings file as the daemon does at its start."""
     try:
-        settings = load(file, DaemonSettings)
+        settings = load_gateway(file) if gateway else load(file, DaemonSettings)
     except SettingsError as error:
         raise CliError(str(error), ExitCode.WRONG_INPUT) from error
     emit(
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,109 @@
+"""Stand-in for a backend server on the users' platform.
+
+Run as `python -m standins.platform_server --listen 127.0.0.1:0 --name i-1`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from standins._cli import abort, serve
+
+
+class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
+    """How it works; POST /control sets these fields.
+
+    Attributes:
+        work_ms: Time that a request takes.
+        slots: Requests at the same time; further ones are shed.
+        lose_answers: Coming requests whose answer is lost after they ran.
+    """
+
+    work_ms: float = 5.0
+    slots: int = 4
+    lose_answers: int = 0
+
+
+class PlatformServerStandIn:
+    """The HTTP handlers of the stand-in."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._behaviour = Behaviour()
+        self._running = 0
+        self._ran: list[dict[str, str]] = []
+
+    def build(self) -> web.Application:
+        """Returns the application."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.router.add_get("/control", self._show)
+        app.router.add_post("/control", self._control)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        headers = request.headers
+        if headers.get("Target-Instance", self._name) != self._name:
+            return web.Response(status=421, headers={"Instance-Id": self._name})
+        if self._running >= self._behaviour.slots:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        self._running += 1
+        try:
+            body = await request.read()
+            self._ran.append(
+                {
+                    "id": headers.get("Request-Id", ""),
+                    "tenant": headers.get("Tenant", ""),
+                    "key": headers.get("Api-Key", ""),
+                    "deadline": headers.get("Deadline-Remaining", ""),
+                    "target": request.raw_path,
+                }
+            )
+            await asyncio.sleep(self._behaviour.work_ms / 1000)
+        finally:
+            self._running -= 1
+        if self._behaviour.lose_answers > 0:
+            self._behaviour.lose_answers -= 1
+            abort(request)
+        return web.Response(
+            body=self._name.encode() + b":" + body,
+            headers={
+                "Request-Id": headers.get("Request-Id", ""),
+                "Server-Seal": f"seal-{self._name}",
+                "Server-Load": f"{self._running},0,{self._behaviour.slots}",
+            },
+        )
+
+    async def _show(self, request: web.Request) -> web.Response:
+        return _json({"ran": self._ran})
+
+    async def _control(self, request: web.Request) -> web.Response:
+        known = msgspec.to_builtins(self._behaviour)
+        change = await request.json()
+        self._behaviour = msgspec.convert(known | change, Behaviour)
+        return _json(msgspec.to_builtins(self._behaviour))
+
+
+def _json(document: Any) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(document), content_type="application/json"
+    )
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", action="append", required=True)
+    parser.add_argument("--name", required=True)
+    options = parser.parse_args()
+    app = PlatformServerStandIn(options.name).build()
+    asyncio.run(serve(app, options.listen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/gateway/fleet.py
@@ -0,0 +1,218 @@
+"""Gateway daemons as processes, beside the platform's stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+
+from bench.fleet import free_addresses
+from tests.standin_processes import standin
+
+ROOT = pathlib.Path(__file__).parents[2]
+HOST = "h.example"
+
+
+class Gateway:
+    """One daemon."""
+
+    def __init__(self, name, region, domain, store, folder):
+        addresses = free_addresses(5)
+        self.name = name
+        self.caller, self.ready, self.directory, self.metrics = addresses[:4]
+        host, _, peer_port = addresses[4].rpartition(":")
+        self.path = folder / f"{name}.jsonc"
+        self.settings = {
+            "instance": name,
+            "region": region,
+            "failure_domain": domain,
+            "ip": host,
+            "regions": {"a-1": "a", "a-2": "a", "b-1": "b"},
+            "listen": {
+                "caller": self.caller,
+                "ready": self.ready,
+                "directory": self.directory,
+                "metrics": self.metrics,
+                "peer_ports": [int(peer_port), int(peer_port)],
+            },
+            "store": {"address": store, "min_lease_s": None},
+            "bounds": {"grace_s": 4.0, "quota_slack": 20},
+        }
+        self.process = None
+
+    async def start(self):
+        """Starts the daemon and waits until it is ready."""
+        self.path.write_text("// Settings.\n" + json.dumps(self.settings))
+        self.log = open(self.path.with_suffix(".log"), "ab")  # noqa: SIM115
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "gateway.py"),
+            env=os.environ | {"RADISHMUX_CONFIG": str(self.path)},
+            stdout=self.log,
+            stderr=self.log,
+        )
+        async with asyncio.timeout(20):
+            while await self.is_ready() != 200:
+                assert self.process.returncode is None, self.text()
+                await asyncio.sleep(0.05)
+
+    def text(self):
+        """Returns what it has logged."""
+        return self.path.with_suffix(".log").read_text()
+
+    async def is_ready(self):
+        """Returns the status of the readiness check, or None."""
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with aiohttp.ClientSession() as session:
+                url = f"http://{self.ready}/api/readiness"
+                async with session.get(url) as response:
+                    return response.status
+        return None
+
+    def kill(self):
+        """Kills the daemon."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+
+    async def stop(self):
+        """Sends SIGTERM and waits for the end."""
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(10):
+            await self.process.wait()
+
+
+class Fleet:
+    """A store, backend servers and gateways."""
+
+    def __init__(self, store, servers, folder):
+        self.store = store
+        self.servers = servers
+        self.folder = folder
+        self.gateways = []
+
+    async def put(self, **keys):
+        """Writes keys as the operator and the servers do."""
+        encoded = {
+            key: None
+            if value is None
+            else base64.b64encode(json.dumps(value).encode()).decode()
+            for key, value in keys.items()
+        }
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{self.store.address}/put"
+            async with session.post(url, json=encoded) as response:
+                response.raise_for_status()
+
+    async def add(self, name, domain="a-1"):
+        """Starts one more gateway."""
+        gateway = Gateway(
+            name, domain[0], domain, self.store.address, self.folder
+        )
+        self.gateways.append(gateway)
+        await gateway.start()
+        return gateway
+
+    async def ran(self):
+        """Returns what the servers ran, by server."""
+        return {
+            name: (await one.show())["ran"]
+            for name, one in self.servers.items()
+        }
+
+
+def server_entry(address, **fields):
+    """Returns a server's entry."""
+    return {
+        "Service": "s",
+        "Address": address,
+        "Zone": "a-1",
+        "Version": "v1",
+        "Slots": 4,
+        "State": "ready",
+        "ColdRemainingS": 0,
+        "Sequence": 1,
+        "born": 1,
+    } | fields
+
+
+def config(version=1, rules=None, keys=("key",), **tenant):
+    """Returns a configuration with two routes of one service."""
+    if rules is None:
+        rules = [("safe", "/safe/"), ("unsafe", "/unsafe/")]
+    return {
+        "Version": f"{version:08x}",
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 1048576,
+            "HeaderTimeoutS": 3,
+            "IdleTimeoutS": 15,
+        },
+        "Tenants": [{"Name": "t1", "ApiKeys": list(keys)} | tenant],
+        "Listeners": [
+            {
+                "Host": HOST,
+                "Rules": [
+                    {
+                        "Name": f"r{prefix}",
+                        "Kind": kind,
+                        "Match": {"PathPrefix": prefix},
+                        "Action": {
+                            "Service": "s",
+                            "TimeoutS": 2,
+                            "MaxAttempts": 2,
+                        },
+                    }
+                    for kind, prefix in rules
+                ],
+            }
+        ],
+        "Clusters": [{"Name": "s", "HealthPath": "/health"}],
+    }
+
+
+@contextlib.asynccontextmanager
+async def fleet(folder, servers=2):
+    """Runs a store and servers, registered and with a configuration."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(standin("platform_store"))
+        running = {}
+        for n in range(servers):
+            name = f"i-{n}"
+            running[name] = await stack.enter_async_context(
+                standin("platform_server", arguments=("--name", name))
+            )
+        made = Fleet(store, running, folder)
+        entries = {
+            f"servers/{name}": server_entry(one.address)
+            for name, one in running.items()
+        }
+        await made.put(**{"op/config": config()}, **entries)
+        try:
+            yield made
+        finally:
+            for gateway in made.gateways:
+                gateway.kill()
+                if gateway.process is not None:
+                    await gateway.process.wait()
+
+
+async def ask(gateway, path="/safe/1", method="GET", **headers):
+    """Sends one request on a connection of its own."""
+    fields = {
+        "Host": HOST,
+        "Request-Id": "id-1",
+        "Api-Key": "key",
+        "Deadline-Remaining": "3000",
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        url = f"http://{gateway.caller}{path}"
+        async with session.request(method, url, headers=fields) as response:
+            return response.status, response.headers, await response.read()
