--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -23,7 +23,7 @@
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.shift.rollout import VersionRule
 from radishmux.steer.placement import Choice, Demand, Placement, object_key
-from radishmux.steer.split import WeightedSplit
+from radishmux.steer.split import DestinationSplit
 from radishmux.verdict import Refusal, Verdict
 
 # Time kept back for the way of the answer to the caller.
@@ -136,7 +136,7 @@
         self._dialect = dialect
         self._clock = clock
         self._log = log
-        self._split = WeightedSplit()
+        self._split = DestinationSplit()
 
     async def handle(self, request: IncomingRequest) -> Response:
         """Returns the answer to a request; cancelled when its caller leaves."""
--- a/src/radishmux/steer/object_places.py
+++ b/src/radishmux/steer/object_places.py
@@ -4,7 +4,9 @@
 order of a hash over the whole fleet, so that one slow first request warms it
 for all. An instance then moves the objects that it uses often nearer, to the
 first server of its region. Each move costs one slow request and saves the
-distance from then on. Moves between regions are bounded by a rate.
+distance from then on. Moves between regions are bounded by a rate. Objects with
+large bodies start in the instance's own failure domain: there the bytes that
+would cross domains cost more than a slow first request.
 
 A server keeps a few dozen objects warm. An object goes to the first servers
 of each region only: with requests spread over all servers, each server saw all
@@ -29,6 +31,8 @@
 # object to.
 OWN_CANDIDATES = 2
 OTHER_CANDIDATES = 1
+# Bodies from this size on stay in the failure domain.
+LARGE_BODY_BYTES = 16_384
 # Bodies of this size double the worth of being near.
 BODY_SCALE_BYTES = 8_192
 MAX_OBJECTS = 8_192
@@ -39,14 +43,15 @@
 
     FLEET = 0
     REGION = 1
+    DOMAIN = 2
 
 
 class Homes:
     """The first servers in an object's order.
 
     Attributes:
-        by_level: First of the fleet and of this region; without one here,
-            the first of the fleet twice.
+        by_level: First of the fleet, of this region and of this failure
+            domain; a missing one is the next wider one.
         candidates: The servers that an object should go to at all: the first
             ones of each region, so that no server sees more objects than it
             can keep warm.
@@ -57,7 +62,7 @@
 
     def __init__(
         self,
-        by_level: tuple[Server, Server],
+        by_level: tuple[Server, Server, Server],
         candidates: tuple[Server, ...],
         ranks: dict[str, int],
     ) -> None:
@@ -78,12 +83,23 @@
 
     __slots__ = ("homes", "level", "requests", "servers")
 
-    def __init__(self, homes: Homes, servers: Sequence[Server]) -> None:
+    def __init__(
+        self, homes: Homes, servers: Sequence[Server], level: Level
+    ) -> None:
         self.homes = homes
         self.servers = servers
-        self.level = Level.FLEET
+        self.level = level
         self.requests = 0
 
+    @property
+    def candidates(self) -> tuple[Server, ...]:
+        """The servers that its requests should go to at all."""
+        if self.level is Level.DOMAIN and self.home not in (
+            self.homes.candidates
+        ):
+            return (self.home, *self.homes.candidates)
+        return self.homes.candidates
+
     @property
     def home(self) -> Server:
         """The server at the level that the object has been moved to."""
@@ -91,6 +107,8 @@
 
     def is_home(self, server: Server) -> bool:
         """Whether a server is a home at the level reached or a wider one."""
+        if self.level is Level.DOMAIN:
+            return server is self.home
         return any(
             server is one for one in self.homes.by_level[: self.level + 1]
         )
@@ -101,24 +119,31 @@
 
     Args:
         region: Region of this instance.
+        failure_domain: Failure domain of this instance.
         now: Monotonic seconds.
     """
 
-    def __init__(self, region: str, now: float) -> None:
+    def __init__(self, region: str, failure_domain: str, now: float) -> None:
         self._region = region
+        self._failure_domain = failure_domain
         self._places: OrderedDict[int, ObjectPlace] = OrderedDict()
         self._moves = MoveBudget(now)
 
-    def place(self, key: int, servers: Sequence[Server]) -> ObjectPlace:
+    def place(
+        self, key: int, servers: Sequence[Server], body_bytes: int = 0
+    ) -> ObjectPlace:
         """Returns the place of an object.
 
         Args:
             key: Hash of the object.
             servers: All servers that may handle it; not empty.
+            body_bytes: Size of the request's body.
         """
         place = self._places.get(key)
         if place is None:
-            place = ObjectPlace(self._homes(key, servers), servers)
+            is_large = body_bytes >= LARGE_BODY_BYTES
+            level = Level.DOMAIN if is_large else Level.FLEET
+            place = ObjectPlace(self._homes(key, servers), servers, level)
             self._places[key] = place
             if len(self._places) > MAX_OBJECTS:
                 self._places.popitem(last=False)
@@ -149,12 +174,9 @@
 
     def _next_level(self, place: ObjectPlace) -> Level | None:
         """Returns the next nearer level that has another server."""
-        for level in Level:
-            if (
-                level > place.level
-                and place.homes.by_level[level] is not place.home
-            ):
-                return level
+        nearer = place.homes.by_level[Level.REGION]
+        if place.level is Level.FLEET and nearer is not place.home:
+            return Level.REGION
         return None
 
     def _homes(self, key: int, servers: Sequence[Server]) -> Homes:
@@ -178,4 +200,12 @@
         in_region = next(
             (one for one in candidates if one.region == self._region), first
         )
-        return Homes((first, in_region), tuple(candidates), ranks)
+        in_domain = next(
+            (
+                one
+                for one in ordered
+                if one.entry.failure_domain == self._failure_domain
+            ),
+            in_region,
+        )
+        return Homes((first, in_region, in_domain), tuple(candidates), ranks)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -204,15 +204,15 @@
         if demand.key is not None:
             places = self._places.get(demand.service)
             if places is None:
-                places = ObjectPlaces(self._region, now)
+                places = ObjectPlaces(self._region, self._failure_domain, now)
                 self._places[demand.service] = places
-            place = places.place(demand.key, servers)
+            place = places.place(demand.key, servers, demand.body_bytes)
             places.note(place, demand.body_bytes, now)
         home_region = place.home.region if place else self._region
         near = far = None
         if place is not None:
             near, far = self._cheapest(
-                demand, place.homes.candidates, may_use, place, home_region, now
+                demand, place.candidates, may_use, place, home_region, now
             )
         if far is None or far.expected_s > demand.left_s:
             near, far = self._cheapest(
--- a/src/radishmux/steer/split.py
+++ b/src/radishmux/steer/split.py
@@ -5,7 +5,7 @@
 from radishmux.config.routing import Destination, HostRoute
 
 
-class WeightedSplit:
+class DestinationSplit:
     """Smooth weighted round-robin over the destinations of each route.
 
     After any number of requests, each destination has its weight's share of
--- a/tests/steer/test_host_routes.py
+++ b/tests/steer/test_host_routes.py
@@ -7,7 +7,7 @@
 
 from radishmux.config.routing import Destination
 from radishmux.steer.host_routes import HostRoutes
-from radishmux.steer.split import WeightedSplit
+from radishmux.steer.split import DestinationSplit
 from tests.gateway.parts import configuration, customer, route
 
 _PARTS = st.lists(st.sampled_from(["a", "b", "ab", ""]), max_size=4)
@@ -44,7 +44,7 @@
     st.lists(st.integers(1, 50), min_size=1, max_size=4), st.integers(1, 300)
 )
 def test_split_is_exact_to_one_request(weights, requests):
-    split = WeightedSplit()
+    split = DestinationSplit()
     one = route(
         destinations=tuple(
             Destination(service=str(n), weight=weight)
@@ -60,7 +60,7 @@
 
 
 def test_changed_weights_start_anew():
-    split = WeightedSplit()
+    split = DestinationSplit()
     old = route(destinations=(Destination(service="a", weight=1.0),))
     both = (
         Destination(service="a", weight=1.0),
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -81,7 +81,7 @@
 
 def test_object_goes_to_few_servers():
     records = tuple(one.record for one in warm_servers(per_domain=5))
-    places = ObjectPlaces("a", 0.0)
+    places = ObjectPlaces("a", "a-1", 0.0)
     used = places.place(7, records).homes.candidates
     regions = [one.region for one in used]
     assert regions.count("a") == OWN_CANDIDATES
@@ -91,15 +91,25 @@
 def test_all_instances_start_with_the_same_server():
     records = tuple(one.record for one in warm_servers())
     homes = {
-        ObjectPlaces(region, 0.0).place(7, records).home.name
+        ObjectPlaces(region, f"{region}-1", 0.0).place(7, records).home.name
         for region in "abc"
     }
     assert len(homes) == 1
 
 
+def test_large_bodies_stay_in_the_failure_domain():
+    records = tuple(one.record for one in warm_servers())
+    places = ObjectPlaces("a", "a-2", 0.0)
+    for key in range(20):
+        place = places.place(key, records, 60_000)
+        assert place.home.entry.failure_domain == "a-2"
+        assert place.home in place.candidates
+        assert not places.note(place, 60_000, 100.0)
+
+
 def test_lost_server_moves_only_its_own_objects():
     records = tuple(one.record for one in warm_servers())
-    places = ObjectPlaces("a", 0.0)
+    places = ObjectPlaces("a", "a-1", 0.0)
     before = {key: places.place(key, records).home.name for key in range(200)}
     kept = records[1:]
     for key, name in before.items():
@@ -109,7 +119,7 @@
 
 def test_object_moves_nearer_after_some_requests():
     records = tuple(one.record for one in warm_servers())
-    places = ObjectPlaces("a", 0.0)
+    places = ObjectPlaces("a", "a-1", 0.0)
     for key in range(50):
         places.place(key, records)
     key = next(
