Move objects nearer only where there is room, and back from busy homes

Change: an object moves nearer only to a server below three quarters of its slots, and back after four requests in a row found its home too busy; a request that was turned away goes where the lowest cost is.

--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -261,6 +261,7 @@
             len(journey.call.body),
             max(0.0, target_s),
             journey.deadline - now,
+            bool(journey.attempts),
         )
         rule = self._rollouts.rule(journey.service, route.name, now)
         choice = self._choose_by(rule, journey, demand, now)
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -17,6 +17,7 @@
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.steer.cold_pace import ColdPaces
 from radishmux.steer.placement import Choice, Placement, object_key
+from radishmux.steer.server_state import LoadReport
 from radishmux.steer.servers import Server
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
@@ -235,6 +236,9 @@
             state.paused_until = math.inf
             return NoResponse("misdirected", Verdict.NOT_RUN)
         state.failed(now)
+        if report.load is None:
+            slots = server.entry.slots
+            state.reported(LoadReport(slots, slots, slots), now)
         return NoResponse(f"shed:{outcome.status}", Verdict.NOT_RUN)
 
     def _note_response(
--- a/src/radishmux/steer/object_places.py
+++ b/src/radishmux/steer/object_places.py
@@ -79,9 +79,10 @@
         servers: The servers that the homes were chosen from.
         level: How near it has been moved.
         requests: Requests of this instance for it at that level.
+        spilled: Latest ones in a row that found its home too busy.
     """
 
-    __slots__ = ("homes", "level", "requests", "servers")
+    __slots__ = ("homes", "level", "requests", "servers", "spilled")
 
     def __init__(
         self, homes: Homes, servers: Sequence[Server], level: Level
@@ -90,6 +91,7 @@
         self.servers = servers
         self.level = level
         self.requests = 0
+        self.spilled = 0
 
     @property
     def candidates(self) -> tuple[Server, ...]:
@@ -152,15 +154,23 @@
             place.servers = servers
         return place
 
-    def note(self, place: ObjectPlace, body_bytes: int, now: float) -> bool:
+    def note(
+        self, place: ObjectPlace, body_bytes: int, has_room: bool, now: float
+    ) -> bool:
         """Counts a request and moves its object nearer when that is due.
 
+        Args:
+            place: Place of the object.
+            body_bytes: Size of the request's body.
+            has_room: Whether its nearer server could take more requests.
+            now: Monotonic seconds.
+
         Returns:
             Whether the object was moved.
         """
         place.requests += 1
         target = self._next_level(place)
-        if target is None:
+        if target is None or not has_room:
             return False
         if place.requests * (1 + body_bytes / BODY_SCALE_BYTES) < MOVE_AFTER:
             return False
@@ -172,6 +182,28 @@
         place.requests = 0
         return True
 
+    def note_spill(self, place: ObjectPlace, spilled: bool, now: float) -> bool:
+        """Takes whether the home of an object was too busy for a request.
+
+        An object that finds its near home busy time after time moves back to
+        its home in the fleet.
+
+        Returns:
+            Whether the object was moved.
+        """
+        place.spilled = place.spilled + 1 if spilled else 0
+        first = place.homes.by_level[Level.FLEET]
+        if (
+            place.spilled < MOVE_AFTER
+            or place.level is not Level.REGION
+            or first.region == place.home.region
+            or not self._moves.take(1.0 / max(1, len(self._places)), now)
+        ):
+            return False
+        place.level = Level.FLEET
+        place.requests = place.spilled = 0
+        return True
+
     def _next_level(self, place: ObjectPlace) -> Level | None:
         """Returns the next nearer level that has another server."""
         nearer = place.homes.by_level[Level.REGION]
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -15,6 +15,7 @@
 from radishmux.steer.move_budget import SpillGate
 from radishmux.steer.object_places import (
     BODY_SCALE_BYTES,
+    Level,
     ObjectPlace,
     ObjectPlaces,
 )
@@ -28,6 +29,8 @@
 # for. A fifth of the time between regions, whose bytes cost several times as
 # much.
 DOMAIN_CROSSING_S = 0.025
+# An object moves to a nearer server only if that is less busy than this.
+ROOM_SHARE = 0.75
 # A failed request costs about a second try.
 FAILURE_COST = 2.0
 # Cost of missing the target latency, as a multiple of it.
@@ -60,10 +63,12 @@
         body_bytes: Size of its body.
         target_s: Time that is left of the route's target latency.
         left_s: Time that is left until an answer is useless.
+        is_retry: Whether a server has turned it away already.
     """
 
     __slots__ = (
         "body_bytes",
+        "is_retry",
         "key",
         "left_s",
         "regions",
@@ -81,6 +86,7 @@
         body_bytes: int = 0,
         target_s: float = math.inf,
         left_s: float = math.inf,
+        is_retry: bool = False,
     ) -> None:
         self.service = service
         self.route = route
@@ -89,6 +95,7 @@
         self.body_bytes = body_bytes
         self.target_s = target_s
         self.left_s = left_s
+        self.is_retry = is_retry
 
 
 class Choice:
@@ -207,7 +214,10 @@
                 places = ObjectPlaces(self._region, self._failure_domain, now)
                 self._places[demand.service] = places
             place = places.place(demand.key, servers, demand.body_bytes)
-            places.note(place, demand.body_bytes, now)
+            nearer = place.homes.by_level[Level.REGION]
+            busy = self.state(nearer.name).load(now) / nearer.entry.slots
+            has_room = busy < ROOM_SHARE
+            places.note(place, demand.body_bytes, has_room, now)
         home_region = place.home.region if place else self._region
         near = far = None
         if place is not None:
@@ -223,7 +233,12 @@
         spill = self._spills.get(demand.service)
         if spill is None:
             spill = self._spills[demand.service] = SpillGate(now)
-        return far if spill.allow(far is not near, now) else near
+        is_better = far is not near
+        if place is not None:
+            self._places[demand.service].note_spill(place, is_better, now)
+        # A request that was turned away once goes where there is room.
+        is_far = spill.allow(is_better, now) or demand.is_retry
+        return far if is_far else near
 
     def _cheapest(
         self,
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -104,7 +104,7 @@
         place = places.place(key, records, 60_000)
         assert place.home.entry.failure_domain == "a-2"
         assert place.home in place.candidates
-        assert not places.note(place, 60_000, 100.0)
+        assert not places.note(place, 60_000, True, 100.0)
 
 
 def test_lost_server_moves_only_its_own_objects():
@@ -131,7 +131,7 @@
     now = 0.0
     while place.home.region != "a":
         now += 0.5
-        places.note(place, 0, now)
+        places.note(place, 0, True, now)
         assert now < 20.0
     assert place.level is Level.REGION
 
