Refuse rather than run cold at a second full server

Change: a server with a queue takes no objects whose home is up; a shed request pauses its server for 60 ms at this instance.

--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -235,7 +235,7 @@
             # Another server has the address; the entry will follow.
             state.paused_until = math.inf
             return NoResponse("misdirected", Verdict.NOT_RUN)
-        state.failed(now)
+        state.turned_away(now)
         if report.load is None:
             slots = server.entry.slots
             state.reported(LoadReport(slots, slots, slots), now)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -19,7 +19,7 @@
     ObjectPlace,
     ObjectPlaces,
 )
-from radishmux.steer.server_state import ServerState
+from radishmux.steer.server_state import SHED_PAUSE_S, ServerState
 from radishmux.steer.servers import Server
 from radishmux.steer.work_times import WorkTimes
 
@@ -41,8 +41,11 @@
 # work counts this many times more on a full server, and not on one that is
 # half empty. Without it, requests that find their home busy run cold on other
 # busy servers, which takes several times the slots and makes all of them
-# late for good.
+# late for good. At an object's home it stops growing with a full server: the
+# request is meant to wait there.
 CROWDING = 2.0
+# Requests per slot from which on a server is crowded.
+CROWDED_LOAD = 1.25
 # Spread of the time that a request takes, relative to what is expected.
 SPREAD = 0.15
 # Servers other than an object's home cost this much more, so that equals do
@@ -253,10 +256,13 @@
         work = self.work_times(demand.service, demand.route)
         near: Choice | None = None
         best: Choice | None = None
+        spares_crowded = place is not None and self._is_up(place.home, now)
         for server in servers:
             state = self.state(server.name)
             if state.paused_until > now or not may_use(server):
                 continue
+            if spares_crowded and self._is_crowded(server, state, place, now):
+                continue
             choice = self._assess(server, state, demand, work, place, now)
             if best is None or choice.cost < best.cost:
                 best = choice
@@ -266,6 +272,26 @@
                 near = choice
         return near, best
 
+    def _is_up(self, server: Server, now: float) -> bool:
+        """Whether a server has at most turned requests away just now."""
+        return self.state(server.name).paused_until <= now + SHED_PAUSE_S
+
+    @staticmethod
+    def _is_crowded(
+        server: Server,
+        state: ServerState,
+        place: ObjectPlace | None,
+        now: float,
+    ) -> bool:
+        """Whether a request would run cold at a server that has a queue.
+
+        It would take several times the slots there; it waits for the home of
+        its object or is refused instead.
+        """
+        if place is None or place.is_home(server):
+            return False
+        return state.load(now) >= CROWDED_LOAD * server.entry.slots
+
     def _assess(
         self,
         server: Server,
@@ -289,7 +315,9 @@
         # Requests queue where their objects are warm or become so.
         wait_s = queued * work.warm_s * QUEUE_FACTOR * slowness / slots
         expected_s = self.round_trip_s(server) + work_s + wait_s
-        busy = min(1.0, (load + 1) / slots)
+        busy = (load + 1) / slots
+        if place is None or is_home:
+            busy = min(1.0, busy)
         crowding_s = work_s * CROWDING * max(0.0, 2.0 * busy - 1.0)
         cost = (expected_s + crowding_s) * (
             1.0 + FAILURE_COST * state.failure_share(now)
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -16,6 +16,9 @@
 # Pause after a connection that failed, doubled with each further failure.
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 4.0
+# Pause after a request was shed, about the time in which a full server ends a
+# few requests.
+SHED_PAUSE_S = 0.06
 # Objects remembered per server; more than servers are known to keep warm.
 MAX_OBJECTS = 256
 
@@ -143,6 +146,11 @@
         # What it held warm is gone if it has started again.
         self._objects.clear()
 
+    def turned_away(self, now: float) -> None:
+        """Takes a request that the server shed: its queue is full."""
+        self.failed(now)
+        self.paused_until = max(self.paused_until, now + SHED_PAUSE_S)
+
     def _note_outcome(self, failed: float, now: float) -> None:
         share = self.failure_share(now)
         self._failure = share + _OUTCOME_WEIGHT * (failed - share)
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -12,6 +12,7 @@
     ObjectPlaces,
 )
 from radishmux.steer.placement import Demand, Placement
+from radishmux.steer.server_state import SHED_PAUSE_S
 from tests.gateway.parts import server
 from tests.steer.warm_fleet import WarmFleet, WarmServer
 
@@ -199,6 +200,32 @@
     assert choice.server.name == "y"
 
 
+def test_full_home_does_not_send_its_objects_to_another_full_server():
+    """Customers with one home region, whose two servers are both full.
+
+    Each object that runs cold at the second server takes the slots of three
+    warm requests there.
+    """
+    placement = Placement("a", "a-1")
+    records = (server("x"), server("y"))
+    demand = Demand("s", "r", 7, frozenset({"a"}))
+
+    def choose(now):
+        return placement.choose(demand, records, lambda one: True, now)
+
+    home = choose(0.0).server.name
+    other = "y" if home == "x" else "x"
+    for name in (home, other):
+        placement.state(name).in_flight = 8
+    assert choose(0.1).server.name == home
+    placement.state(home).turned_away(1.0)
+    assert choose(1.0) is None
+    assert choose(1.0 + SHED_PAUSE_S).server.name == home
+    # A home that is down is another matter.
+    placement.state(home).unreachable(2.0)
+    assert choose(2.0).server.name == other
+
+
 def test_home_regions_are_kept():
     placement = Placement("a", "a-1")
     records = (server("x", "b-1"),)
