--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -24,6 +24,9 @@
 # hold beyond its part of the burst: a part of a small customer's burst can be
 # less than one token, and would admit nothing.
 SLACK_USED = 0.9
+# Part of a burst that a starting instance has. What the process before it
+# used counts in the same window, so that it cannot have all of it again.
+START_PART = 0.3
 # Longest pause that a refusal names.
 MAX_WAIT_S = 1.0
 
@@ -39,7 +42,7 @@
 
 
 class _Share:
-    __slots__ = ("bucket", "demand", "terms")
+    __slots__ = ("bucket", "demand", "is_started", "terms")
 
     def __init__(
         self,
@@ -51,6 +54,7 @@
         self.terms = terms
         self.bucket = FractionBucket(rate_per_s, terms.burst, now, least_tokens)
         self.demand = DemandMeter(now)
+        self.is_started = False
 
 
 class FleetRates:
@@ -150,6 +154,11 @@
             }
         )
         self._divide(now)
+        for share in self._shares.values():
+            if not share.is_started:
+                share.is_started = True
+                tokens = START_PART * share.bucket.capacity
+                share.bucket.put(tokens, now)
         return self._own
 
     def take_report(
--- a/tests/share/test_fleet_rate.py
+++ b/tests/share/test_fleet_rate.py
@@ -133,6 +133,24 @@
     assert nodes[1]._shares["c"].bucket.tokens >= 0.0
 
 
+def test_restart_of_all_instances_keeps_to_the_rate():
+    """The load of `herd_kill`, beside a customer that is always at its rate."""
+    terms = customer(rate_per_s=100.0, burst=100.0)
+    rng = random.Random(5)
+    fleet = Fleet(10, terms)
+    demand = dict.fromkeys(fleet.nodes, 30.0)
+    times = fleet.run(6.0, demand, rng)
+    for _ in range(3):
+        again = Fleet(10, terms)
+        again.now = fleet.now + 1.0
+        for node in again.nodes.values():
+            node._shares["c"].bucket.advance(again.now)
+            node._shares["c"].bucket.withdraw(1000.0, again.now)
+        fleet = again
+        times += fleet.run(4.0, demand, rng)
+    assert most_in_window(times, 5.0) <= allowed(terms)
+
+
 def test_customer_without_a_limit_is_not_counted():
     node = FleetRates()
     assert all(node.take(customer(), 0.0) for _ in range(1000))
