--- a/scripts/reference.py
+++ b/scripts/reference.py
@@ -16,7 +16,7 @@
 from msgspec import inspect as types
 
 from radishmux.config import model
-from radishmux.settings import daemon
+from radishmux.settings import daemon, gateway
 from radishmux.telemetry.catalogue import LATENCY_BUCKETS_S, METRICS, SPANS
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
@@ -40,6 +40,12 @@
     daemon.LogSettings,
     daemon.TraceSettings,
 )
+_GATEWAY = (
+    gateway.GatewaySettings,
+    gateway.GatewayListen,
+    gateway.GatewayStore,
+    gateway.Bounds,
+)
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
 
 _CONFIGURATION_HEAD = """\
@@ -62,6 +68,15 @@
 One file for each instance, read at the start of `radishmuxd --settings FILE`.
 A wrong setting stops the start with the file, the path, and what is allowed.
 """
+_GATEWAY_HEAD = """\
+## Gateway settings
+
+One file for each gateway, named by the variable `RADISHMUX_CONFIG`; on the
+users' platform it is rendered from `deploy/gateway.template.jsonc`. Unknown
+fields are ignored, and null counts as not given. The file is read at the
+start, on SIGHUP and when it changes; `radishctl settings check --gateway FILE`
+checks it.
+"""
 _TELEMETRY_HEAD = """\
 # Metrics and traces reference
 
@@ -95,6 +110,8 @@
     parts += [_class_section(kind, "##") for kind in _CONFIGURATION]
     parts.append(_SETTINGS_HEAD)
     parts += [_class_section(kind, "###") for kind in _SETTINGS]
+    parts.append(_GATEWAY_HEAD)
+    parts += [_class_section(kind, "###") for kind in _GATEWAY]
     return "\n".join(parts)
 
 
--- a/src/radishmux/cli/schema.py
+++ b/src/radishmux/cli/schema.py
@@ -10,11 +10,13 @@
 
 from radishmux.config.model import Configuration
 from radishmux.settings.daemon import DaemonSettings
+from radishmux.settings.gateway import GatewaySettings
 
 # File name in docs/schema by the class that it describes.
 SCHEMAS: dict[str, type] = {
     "configuration.schema.json": Configuration,
     "settings.schema.json": DaemonSettings,
+    "gateway.schema.json": GatewaySettings,
 }
 
 
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -62,6 +62,7 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         self._leaving = False
+        self._members: frozenset[str] = frozenset()
         self._record = InstanceRecord(
             instance=settings.instance,
             incarnation=time.time_ns() // 1_000_000,
@@ -286,7 +287,10 @@
 
     def _on_members(self, now: float) -> None:
         self._peers.set_records(self._state.instances.values(), now)
-        names = frozenset(self._state.instances) | {self._settings.instance}
+        names = frozenset(self._peers.records) | {self._settings.instance}
+        if names == self._members:
+            return
+        self._members = names
         self._paces.set_instances(names)
         self._budgets.set_instances(len(names))
         self._rates.set_instances(set(names - {self._settings.instance}), now)
@@ -294,6 +298,7 @@
     async def _housekeeping(self) -> None:
         now = self._clock.now()
         self._state.servers.expire(now)
+        self._on_members(now)
         self._sender.prune()
 
     def _lookup(
--- a/src/radishmux/membership/peers.py
+++ b/src/radishmux/membership/peers.py
@@ -45,11 +45,21 @@
     def set_records(
         self, records: Iterable[InstanceRecord], now: float
     ) -> None:
-        """Sets the registered instances; the own record is ignored."""
+        """Sets the registered instances; the own record is ignored.
+
+        A peer whose record has lapsed is kept while it is heard: it may be
+        cut off from the store alone.
+        """
         own = self._own.instance
-        self._records = {
+        kept = {
+            name: record
+            for name, record in self._records.items()
+            if self.is_heard(name, now)
+        }
+        registered = {
             one.instance: one for one in records if one.instance != own
         }
+        self._records = kept | registered
         for name in self._peers.keys() - self._records.keys():
             del self._peers[name]
         for name, record in self._records.items():
--- a/tests/shift/test_rollout.py
+++ b/tests/shift/test_rollout.py
@@ -107,6 +107,21 @@
     assert trial.bad <= 50
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_fault_that_no_instance_sees_alone_is_found(seed):
+    trial = Trial(errors, instances=60, seed=seed).run()
+    assert trial.state is RolloutState.ROLLED_BACK
+    assert trial.bad <= 50
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_fault_on_a_rare_route_is_found_before_the_end(seed):
+    routes = ("r",) * 49 + ("r2",)
+    trial = Trial(one_route, seed=seed, routes=routes).run()
+    assert trial.state is not RolloutState.COMPLETED
+    assert trial.new <= EXPOSURE * RATE_PER_S * DURATION_S + EXPOSURE_SLACK
+
+
 def test_stopped_version_gets_nothing():
     rollout = Rollout(RolloutOrder("s", "v2", 15.0), EXPOSURE, 0.0)
     rollout.take_fault("a peer found it")
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import hashlib
+import json
 import pathlib
+import re
 
 import pytest
 
@@ -11,7 +13,8 @@
 from radishmux.config.model import Configuration
 from radishmux.config.validation import validate
 from radishmux.settings.daemon import DaemonSettings
-from radishmux.settings.loader import load
+from radishmux.settings.gateway import load_gateway
+from radishmux.settings.loader import SettingsError, load
 
 ROOT = pathlib.Path(__file__).parent.parent
 # Regions, link, servers a service, slots, connections: docs/design.md, 1.6.
@@ -93,3 +96,49 @@
     assert published == schema_text(SCHEMAS[name]), (
         "run: radishctl settings schema --write docs/schema"
     )
+
+
+def test_gateway_template_renders_valid_settings(tmp_path):
+    """Whatever the platform does not know is null in the rendered file."""
+    text = (ROOT / "deploy" / "gateway.template.jsonc").read_text()
+    values = {
+        "NodeName": "n1",
+        "Region": "a",
+        "Zone": "a-1",
+        "Ip": "10.0.0.1",
+        "Zones": {"a-1": "a"},
+        "Listen.Front": "10.0.0.1:1",
+        "Listen.Ready": "10.0.0.1:2",
+        "Listen.Directory": "10.0.0.1:3",
+        "InternalPortRange": [4, 9],
+        "Platform.Address": "10.0.0.2:5",
+    }
+
+    def value(match):
+        found = values.get(match.group(1))
+        return json.dumps(found) if match.group(2) else str(found)
+
+    path = tmp_path / "node.yaml"
+    path.write_text(re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, text))
+    settings = load_gateway(path)
+    assert settings.instance == "n1"
+    assert settings.listen.peer_ports == (4, 9)
+    assert settings.listen.metrics == "10.0.0.1:9464"
+    assert settings.bounds.grace_s == 6.0
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ('"instance": 5', "$.instance"),
+        ('"listen": {"caller": "x"}', "$.listen"),
+        ('"bounds": {"grace_s": "long"}', "$.bounds.grace_s"),
+        ("not json", "not valid JSON"),
+    ],
+)
+def test_wrong_gateway_settings_are_named(tmp_path, change, named):
+    path = tmp_path / "node.yaml"
+    path.write_text("{" + change + "}")
+    with pytest.raises(SettingsError, match=re.escape(named)) as error:
+        load_gateway(path)
+    assert str(path) in str(error.value)
