Let requests wait for the first configuration; split large modules

Cause: after a restart of all, callers came back within the 0.1 to 0.3 s in which the store was read, and were sent away (417 of 1,128 in two seconds). Change: a request waits up to half a second for the first configuration. The connection of the pipelined server, the journey of a request and the start and end of background tasks stand in modules of their own.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -23,7 +23,8 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
-from radishmux.http.pipelined import IncomingRequest, PipelinedServer
+from radishmux.http.incoming import IncomingRequest
+from radishmux.http.pipelined import PipelinedServer
 from radishmux.http.response import Response
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from radishmux.dispatch.http_client import ServerResponse
-from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.steer.server_state import LoadReport
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -4,18 +4,16 @@
 
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
 from radishmux.gateway.call import Call
+from radishmux.gateway.journey import Journey
 from radishmux.telemetry.log_stream import BoundedLogStream
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Refusal
 
-if TYPE_CHECKING:
-    from radishmux.gateway.request_flow import Journey
-
 _encoder = msgspec.json.Encoder()
 
 
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -12,22 +12,28 @@
 from radishmux.gateway.allowance import Allowance
 from radishmux.gateway.call import Call, Dialect
 from radishmux.gateway.decision_log import DecisionLog
+from radishmux.gateway.events import ConfigurationPut, Event
 from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.journey import Journey
 from radishmux.gateway.refusals import REFUSALS
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import Attempt, ServerSender
-from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.shift.rollout import VersionRule
+from radishmux.steer.host_routes import HostRoutes
 from radishmux.steer.placement import Choice, Demand, Placement, object_key
 from radishmux.steer.split import DestinationSplit
 from radishmux.verdict import Refusal, Verdict
 
 # Time kept back for the way of the answer to the caller.
 ANSWER_MARGIN_S = 0.02
+# Longest wait for the first configuration: a list of some pages from a store
+# in another region.
+MAX_START_WAIT_S = 0.5
 # Longest wait for a token of a customer's rate.
 MAX_TOKEN_WAIT_S = 0.25
 # A repeatable request is tried elsewhere when its server takes this many
@@ -39,64 +45,6 @@
 MIN_RETRY_AFTER_S = 0.05
 
 
-class Journey:
-    """What is known of one request on its way; data only.
-
-    Attributes:
-        call: The request.
-        route: Its route.
-        customer: Its customer; None on open routes.
-        service: Service that the split chose.
-        regions: Regions that may serve it; empty means all.
-        deadline: Monotonic time until which an answer is useful.
-        attempts: Servers that it was sent to.
-        choices: What was expected of them.
-        ended: Attempts that have ended.
-        may_have_run: Whether an attempt may have run.
-        last: The latest response of a server that ran it, or None.
-        reason: Why the latest attempt failed.
-    """
-
-    __slots__ = (
-        "attempts",
-        "call",
-        "choices",
-        "customer",
-        "deadline",
-        "ended",
-        "last",
-        "may_have_run",
-        "reason",
-        "regions",
-        "route",
-        "service",
-    )
-
-    def __init__(
-        self,
-        call: Call,
-        route: HostRoute,
-        customer: CustomerTerms | None,
-        service: str,
-        deadline: float,
-    ) -> None:
-        self.call = call
-        self.route = route
-        self.customer = customer
-        self.service = service
-        self.regions = route.home_regions
-        if customer is not None and customer.home_regions:
-            homes = customer.home_regions
-            self.regions = homes & self.regions if self.regions else homes
-        self.deadline = deadline
-        self.attempts: list[str] = []
-        self.choices: list[Choice] = []
-        self.ended = 0
-        self.may_have_run = False
-        self.last: ServerResponse | None = None
-        self.reason = ""
-
-
 class RequestFlow:
     """Answers the requests of callers.
 
@@ -137,6 +85,10 @@
         self._clock = clock
         self._log = log
         self._split = DestinationSplit()
+        self._configured = asyncio.Event()
+        if state.routes is not None:
+            self._configured.set()
+        state.watch(self._on_event)
 
     async def handle(self, request: IncomingRequest) -> Response:
         """Returns the answer to a request; cancelled when its caller leaves."""
@@ -151,7 +103,7 @@
     # Admission.
 
     async def _admit(self, call: Call) -> Journey | Response:
-        routes = self._state.routes
+        routes = self._state.routes or await self._first_routes()
         if routes is None:
             return self._refuse(call, "no_configuration", retry_after_s=0.5)
         route = routes.find(call.host, call.path)
@@ -180,6 +132,23 @@
         self._budgets.first(journey.service, now)
         return journey
 
+    async def _first_routes(self) -> HostRoutes | None:
+        """Waits for the first configuration; None: it did not come.
+
+        A starting instance has read the store within a few round trips.
+        Callers that come in that time are served rather than sent away.
+        """
+        try:
+            async with asyncio.timeout(MAX_START_WAIT_S):
+                await self._configured.wait()
+        except TimeoutError:
+            return None
+        return self._state.routes
+
+    def _on_event(self, event: Event, now: float) -> None:
+        if isinstance(event, ConfigurationPut):
+            self._configured.set()
+
     async def _take_token(
         self, call: Call, route: HostRoute, customer: CustomerTerms
     ) -> Response | None:
--- a/src/radishmux/gateway/rollouts.py
+++ b/src/radishmux/gateway/rollouts.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from types import TracebackType
 
 from radishmux.clock import Clock
 from radishmux.gateway.events import Event, RolloutPut, StatusPut
@@ -13,7 +11,7 @@
 from radishmux.shift.orders import RolloutState, RolloutStatus
 from radishmux.shift.rollout import ANY_VERSION, Rollout, VersionRule
 from radishmux.store.interface import ObservableStore
-from radishmux.tasks import repeat
+from radishmux.tasks import Background, repeat
 from radishmux.telemetry.logs import state_change
 
 STEP_PERIOD_S = 0.2
@@ -22,7 +20,7 @@
 TURN_S = 0.6
 
 
-class Rollouts:
+class Rollouts(Background):
     """All orders, and the states that are written for operators.
 
     An async context manager that writes states while it is entered.
@@ -56,29 +54,12 @@
         self._orders: dict[str, RolloutPut] = {}
         self._statuses: dict[str, StatusPut] = {}
         self._due_since: dict[str, tuple[RolloutState, float]] = {}
-        self._task: asyncio.Task[None] | None = None
 
     @property
     def active(self) -> dict[str, Rollout]:
         """Orders by service."""
         return self._rollouts
 
-    async def __aenter__(self) -> Rollouts:
-        self._task = asyncio.create_task(
-            repeat(self._step, STEP_PERIOD_S, "rollouts")
-        )
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
     def on_event(self, event: Event, now: float) -> None:
         """Takes orders and recorded states."""
         if isinstance(event, RolloutPut):
@@ -166,6 +147,9 @@
         is_later = put.revision > self._orders[service].revision
         rollout.take_status(put.status if is_later else None)
 
+    async def _run(self) -> None:
+        await repeat(self._step, STEP_PERIOD_S, "rollouts")
+
     async def _step(self) -> None:
         self.judge()
         now = self._clock.now()
--- a/src/radishmux/membership/registrar.py
+++ b/src/radishmux/membership/registrar.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-from types import TracebackType
 
 from radishmux.clock import Clock
 from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
 from radishmux.store.interface import ObservableStore
-from radishmux.tasks import repeat
+from radishmux.tasks import Background, repeat
 from radishmux.telemetry.logs import state_change
 
 # A dead instance's record is gone this long after its last renewal.
@@ -18,7 +16,7 @@
 CALL_TIMEOUT_S = 1.0
 
 
-class Registrar:
+class Registrar(Background):
     """Registers an instance while it is entered.
 
     Args:
@@ -44,29 +42,10 @@
         self._lease_s = max(LEASE_S, math.ceil(min_lease_s))
         self._lease_id = 0
         self._registered = False
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Registrar:
-        self._task = asyncio.create_task(
-            repeat(self._step, RENEW_PERIOD_S, "registration")
-        )
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def withdraw(self) -> None:
         """Removes the record; call when callers should go elsewhere."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._stop()
         if self._lease_id:
             ended = await self._store.revoke_lease(
                 self._lease_id, CALL_TIMEOUT_S
@@ -76,6 +55,9 @@
                     "registration", "left to lapse", reason=ended.reason
                 )
 
+    async def _run(self) -> None:
+        await repeat(self._step, RENEW_PERIOD_S, "registration")
+
     async def _step(self) -> None:
         if not self._lease_id:
             lease = await self._store.grant_lease(self._lease_s, CALL_TIMEOUT_S)
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -7,7 +7,7 @@
 from radishmux.dispatch.http_client import ServerResponse
 from radishmux.gateway.call import Call, RunReport
 from radishmux.http.headers import answer_headers, request_headers
-from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.steer.server_state import LoadReport
--- a/src/radishmux/platform/directory.py
+++ b/src/radishmux/platform/directory.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.membership.record import InstanceRecord
 
--- a/src/radishmux/store/mirror.py
+++ b/src/radishmux/store/mirror.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 import random
-from types import TracebackType
 from typing import Protocol
 
 from loguru import logger
@@ -18,6 +17,7 @@
     KeyChange,
     ObservableStore,
 )
+from radishmux.tasks import Background
 from radishmux.telemetry.logs import state_change
 
 # A watch that is answered is not asked again before this time has passed, so
@@ -47,7 +47,7 @@
         """Takes the news that the store answers again after an outage."""
 
 
-class StoreMirror:
+class StoreMirror(Background):
     """Owns the watch of one prefix; an async context manager.
 
     Args:
@@ -71,7 +71,6 @@
         self._revision = -1
         self._contact_at = -math.inf
         self._is_out = False
-        self._task: asyncio.Task[None] | None = None
         self._loaded = asyncio.Event()
 
     @property
@@ -88,20 +87,6 @@
         """Returns the age of the latest answer of the store."""
         return now - self._contact_at
 
-    async def __aenter__(self) -> StoreMirror:
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-
     async def _run(self) -> None:
         while True:
             try:
--- a/src/radishmux/tasks.py
+++ b/src/radishmux/tasks.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import Self
 
 from loguru import logger
 
@@ -29,3 +31,31 @@
         except Exception:
             logger.exception("{} failed", name)
         await asyncio.sleep(period_s)
+
+
+class Background:
+    """An async context manager that runs one task while it is entered."""
+
+    _task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Cancels the task and waits for its end."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        """Does the work until it is cancelled."""
+        raise NotImplementedError
--- a/tests/gateway/parts.py
+++ b/tests/gateway/parts.py
@@ -10,7 +10,7 @@
     RoutingConfiguration,
     ServiceTerms,
 )
-from radishmux.http.pipelined import IncomingRequest
+from radishmux.http.incoming import IncomingRequest
 from radishmux.steer.servers import Server, ServerEntry
 
 REGIONS = {
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -81,9 +81,17 @@
         self.lines.append(line)
 
 
-def make_flow(sender, configuration=None, servers=2, admits=True):
-    events = [ConfigurationPut(configuration or parts.configuration())]
-    events += [ServerPut(f"s{n}", parts.entry(f"s{n}")) for n in range(servers)]
+def first_events(configuration, servers):
+    return [
+        *(ServerPut(f"s{n}", parts.entry(f"s{n}")) for n in range(servers)),
+        ConfigurationPut(configuration),
+    ]
+
+
+def make_flow(sender, configuration=None, servers=2, admits=True, events=None):
+    if events is None:
+        configuration = configuration or parts.configuration()
+        events = first_events(configuration, servers)
     state = FleetState(lambda change: change, parts.REGIONS)
     for event in events:
         state.on_change(event, -100.0)
@@ -137,12 +145,20 @@
 
 
 async def test_no_configuration_promises_not_run():
-    state = FleetState(lambda change: change, parts.REGIONS)
-    flow, _ = make_flow(FakeSender())
-    flow._state = state
+    flow, _ = make_flow(FakeSender(), events=[])
     assert (await ask(flow)).status == 503
 
 
+async def test_request_that_comes_before_the_configuration_is_served():
+    """After a restart of all, callers return before the store is read."""
+    flow, _ = make_flow(FakeSender(OK), events=[])
+    task = asyncio.create_task(ask(flow))
+    await asyncio.sleep(0.1)
+    for event in first_events(parts.configuration(), 2):
+        flow._state.on_change(event, -100.0)
+    assert (await task).status == 200
+
+
 @pytest.mark.parametrize(
     ("key", "status"), [("key", 200), ("wrong", 401), (None, 401)]
 )
