Forward traceparent, check durations, count bodies until they are answered

Cause: read as a newcomer would: the product's header rules dropped traceparent, a deadline of nan passed the check and never ended, an entry that was read again warmed a server that had broken, and bodies left the memory count when they were whole. Change: each as named, with a test that failed before.

--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -29,10 +29,13 @@
 class _Slot:
     """The place of one request in the order of responses."""
 
-    __slots__ = ("closes", "is_head", "response", "task")
+    __slots__ = ("closes", "held_bytes", "is_head", "response", "task")
 
-    def __init__(self, closes: bool, is_head: bool) -> None:
+    def __init__(
+        self, closes: bool, is_head: bool, held_bytes: int = 0
+    ) -> None:
         self.closes = closes
+        self.held_bytes = held_bytes
         self.is_head = is_head
         self.response: Response | None = None
         self.task: asyncio.Task[None] | None = None
@@ -163,7 +166,7 @@
     def on_message_complete(self) -> None:
         """Starts the work on a whole request."""
         body = b"".join(self._body)
-        self._drop_body()
+        self._body = []
         self._in_request = self._in_body = False
         self._head_bytes = 0
         self._cancel_timer()
@@ -175,9 +178,15 @@
             body,
             self._received_at,
         )
-        slot = _Slot(not self._parser.should_keep_alive(), method == "HEAD")
+        slot = _Slot(
+            not self._parser.should_keep_alive(), method == "HEAD", len(body)
+        )
         self._slots.append(slot)
         slot.task = self._loop.create_task(self._work(slot, request))
+        # Also when the task is cancelled before it has begun.
+        slot.task.add_done_callback(
+            lambda _: self._server.release(slot.held_bytes)
+        )
         if len(self._slots) >= MAX_PIPELINED:
             self._pause_reading()
 
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -55,6 +55,11 @@
         """`ip:port` that it listens on."""
         return self._address
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that bodies of unanswered requests take."""
+        return self._held_bytes
+
     @property
     def busy(self) -> int:
         """Connections with a request under way."""
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import urllib.parse
+import math
 
 from radishmux.dispatch.http_client import ServerResponse
 from radishmux.gateway.call import Call, RunReport
@@ -43,19 +43,16 @@
         elif name == AFFINITY:
             affinity = value
         elif name == DEADLINE:
-            try:
-                deadline_ms = float(value)
-            except ValueError:
-                return Unavailable("deadline is no number")
+            deadline_ms = _duration(value)
+            if deadline_ms is None:
+                return Unavailable("deadline is no duration")
     if not host:
         return Unavailable("no host")
     if not request.target.startswith("/"):
         return Unavailable("target is no path")
     return Call(
         host=host.rpartition(":")[0].lower() if ":" in host else host.lower(),
-        path=urllib.parse.urlsplit("//h" + request.target).path
-        if "?" in request.target
-        else request.target,
+        path=request.target.partition("?")[0],
         method=request.method,
         target=request.target,
         headers=request.headers,
@@ -68,16 +65,25 @@
     )
 
 
+def _duration(value: str) -> float | None:
+    try:
+        duration = float(value)
+    except ValueError:
+        return None
+    return duration if math.isfinite(duration) and duration >= 0 else None
+
+
 def encode_request(
     call: Call, server: str, customer: str, remaining_s: float
 ) -> list[bytes]:
     """Returns the bytes of a request for a backend server."""
     lines = [f"{call.method} {call.target} HTTP/1.1"]
-    host = ""
-    for name, value in call.headers:
-        if name == "host":
-            host = value
-    lines.append(f"Host: {host}")
+    # The product starts traces anew at each hop; here they pass through.
+    lines.extend(
+        f"{name}: {value}"
+        for name, value in call.headers
+        if name in ("host", "traceparent")
+    )
     lines.extend(
         f"{name}: {value}"
         for name, value in request_headers(call.headers)
--- a/src/radishmux/steer/directory.py
+++ b/src/radishmux/steer/directory.py
@@ -9,7 +9,6 @@
 # Answers name an instance for this long; short, so that callers of an
 # instance that dies soon ask again.
 LOOKUP_TTL_S = 2.0
-MAX_ADDRESSES = 8
 
 
 def nearest(
--- a/src/radishmux/steer/servers.py
+++ b/src/radishmux/steer/servers.py
@@ -133,8 +133,10 @@
             self._by_service.clear()
             return True
         changed = _use(entry) != _use(server.entry)
+        # An entry that is read again tells nothing new about its warmth.
+        if entry.sequence != server.entry.sequence or not entry.started_ms:
+            server.cold_until = now + entry.cold_remaining_s
         server.entry = entry
-        server.cold_until = now + entry.cold_remaining_s
         if changed:
             server.region = self._regions.get(entry.failure_domain, "")
             self._by_service.clear()
--- /dev/null
+++ b/tests/gateway/test_dialect.py
@@ -0,0 +1,85 @@
+"""Headers towards backend servers and callers."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishmux.dispatch.http_client import ServerResponse
+from radishmux.outcome import Unavailable
+from radishmux.platform import dialect
+from radishmux.verdict import Verdict
+from tests.gateway import parts
+
+
+def encoded(**headers):
+    request = parts.request("/p/1?a=%20b", **headers)
+    call = dialect.read_call(request)
+    head = dialect.encode_request(call, "i-1", "t1", 1.5)[0].decode()
+    lines = head.split("\r\n")
+    fields = [line.split(": ", 1) for line in lines[1:] if line]
+    return lines[0], [(name.lower(), value) for name, value in fields]
+
+
+def test_request_is_forwarded_unchanged_but_for_our_headers():
+    line, fields = encoded(
+        api_key="secret",
+        tenant="forged",
+        target_instance="forged",
+        deadline_remaining="9000",
+        traceparent="00-1-2-03",
+        x_other="kept",
+        connection="x-hop",
+        x_hop="dropped",
+        te="trailers",
+    )
+    assert line == "GET /p/1?a=%20b HTTP/1.1"
+    assert sorted(fields) == sorted(
+        [
+            ("host", "h.example"),
+            ("request-id", "id-1"),
+            ("traceparent", "00-1-2-03"),
+            ("x-other", "kept"),
+            ("deadline-remaining", "1500"),
+            ("target-instance", "i-1"),
+            ("tenant", "t1"),
+        ]
+    )
+
+
+def test_path_is_what_precedes_the_query():
+    call = dialect.read_call(parts.request("/p/1?x=/q/#y", host="H.Example:80"))
+    assert (call.path, call.host) == ("/p/1", "h.example")
+
+
+@pytest.mark.parametrize("target", ["*", "http://h.example/p/", "p/1"])
+def test_target_that_is_no_path_is_refused(target):
+    assert isinstance(dialect.read_call(parts.request(target)), Unavailable)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict", "genuine"),
+    [
+        (200, [("server-seal", "s")], Verdict.RAN, True),
+        (200, [], Verdict.RAN, False),
+        (
+            200,
+            [("server-seal", "s"), ("content-encoding", "gzip")],
+            Verdict.RAN,
+            False,
+        ),
+        (503, [("not-executed", "1")], Verdict.NOT_RUN, False),
+        (503, [("server-seal", "s")], Verdict.RAN, True),
+        (421, [("instance-id", "i-2")], Verdict.NOT_RUN, False),
+        (500, [("server-seal", "s")], Verdict.RAN, True),
+    ],
+)
+def test_response_tells_whether_it_ran(status, headers, verdict, genuine):
+    report = dialect.report_of(ServerResponse(status, headers, b""))
+    assert (report.verdict, report.genuine) == (verdict, genuine)
+
+
+@pytest.mark.parametrize("value", ["3,1,6", "3,1", "a,b,c", ""])
+def test_load_is_read_or_left_out(value):
+    response = ServerResponse(200, [("server-load", value)], b"")
+    load = dialect.report_of(response).load
+    assert (load is not None) == (value == "3,1,6")
--- a/tests/gateway/test_pipelined.py
+++ b/tests/gateway/test_pipelined.py
@@ -181,6 +181,27 @@
         await asyncio.wait_for(cancelled.wait(), 0.5)
 
 
+async def test_bodies_count_against_the_memory_until_they_are_answered():
+    release = asyncio.Event()
+    started = asyncio.Event()
+
+    async def handler(request):
+        started.set()
+        await release.wait()
+        return Response(200, [])
+
+    async with serve(handler) as server, Caller(server) as caller:
+        caller.writer.write(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n"
+            + b"x" * 900
+        )
+        await asyncio.wait_for(started.wait(), 5)
+        assert server.held_bytes == 900
+        release.set()
+        await caller.answer()
+        assert server.held_bytes == 0
+
+
 async def test_drain_answers_what_runs_and_closes_the_rest():
     release = asyncio.Event()
     started = asyncio.Event()
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -137,6 +137,8 @@
         ({"target": "/other/1"}, 404),
         ({"host": "other.example"}, 404),
         ({"deadline_remaining": "soon"}, 400),
+        ({"deadline_remaining": "nan"}, 400),
+        ({"deadline_remaining": "-5"}, 400),
     ],
 )
 async def test_request_without_a_route_is_refused(fields, status):
--- a/tests/steer/test_servers.py
+++ b/tests/steer/test_servers.py
@@ -36,6 +36,17 @@
     assert not table.get("a").is_cold(4.1)
 
 
+def test_known_entry_read_again_does_not_warm_a_server_that_broke():
+    """A server that broke may have started again, cold; only news tell."""
+    table = ServerTable(REGIONS)
+    table.put(entry("a", sequence=5, started_ms=10), 0.0)
+    table.get("a").cold_until = 9.0
+    table.put(entry("a", sequence=5, started_ms=10), 1.0)
+    assert table.get("a").is_cold(2.0)
+    table.put(entry("a", sequence=6, started_ms=10), 3.0)
+    assert not table.get("a").is_cold(4.0)
+
+
 def test_gone_entry_ends_at_once():
     table = ServerTable(REGIONS)
     table.put(entry("a"), 0.0)
