Split the request flow and the choice of a server into shorter functions

Cause: read as a newcomer would, the loop of attempts and the choice were long, and choices were made with nine positional values. Change: attempts under way are a context manager; each step of the loop and of the choice has a function; values are named.

--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from types import TracebackType
 
 from radishmux.clock import Clock
 from radishmux.config.routing import CustomerTerms, HostRoute
@@ -45,6 +46,33 @@
 MIN_RETRY_AFTER_S = 0.05
 
 
+class Race:
+    """Attempts at one request that are under way; a context manager.
+
+    Attributes:
+        running: Their tasks; what is left at the end is cancelled.
+        patience_until: Monotonic time from which on another one is due.
+    """
+
+    __slots__ = ("patience_until", "running")
+
+    def __init__(self, patience_until: float) -> None:
+        self.running: set[asyncio.Task[ServerResponse | NoResponse]] = set()
+        self.patience_until = patience_until
+
+    def __enter__(self) -> Race:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for task in self.running:
+            task.cancel()
+
+
 class RequestFlow:
     """Answers the requests of callers.
 
@@ -173,48 +201,55 @@
         A repeatable request whose server takes long is sent to a second one
         while the first goes on; the first answer counts.
         """
-        running: set[asyncio.Task[ServerResponse | NoResponse]] = set()
-        patience_until = journey.call.received_at
-        try:
+        with Race(journey.call.received_at) as race:
             while True:
-                now = self._clock.now()
-                if now >= journey.deadline:
-                    # Attempts that go on may have run, or run until they see
-                    # that they are cancelled.
-                    journey.may_have_run |= bool(running)
-                    return self._give_up(journey, "deadline_passed")
-                if now >= patience_until and self._may_repeat(journey):
-                    choice = self._choose(journey, now)
-                    reason = self._objection(journey, choice, now)
-                    if choice is not None and reason is None:
-                        patience_until = self._patience_until(choice, now)
-                        running.add(self._start(journey, choice))
-                    elif not running:
-                        expected_s = choice.expected_s if choice else math.inf
-                        return self._give_up(
-                            journey, reason or "no_server", expected_s
-                        )
-                    else:
-                        patience_until = math.inf
-                if not running:
-                    return self._give_up(journey, journey.reason)
-                until = journey.deadline
-                if self._may_repeat(journey):
-                    until = min(until, patience_until)
-                done, running = await asyncio.wait(
-                    running,
-                    timeout=max(0.0, until - now),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    response = self._conclude(journey, task.result())
-                    if response is not None:
-                        return response
-                if done and not running:
-                    patience_until = now
-        finally:
-            for task in running:
-                task.cancel()
+                response = self._advance(journey, race)
+                if response is None:
+                    response = await self._next_end(journey, race)
+                if response is not None:
+                    return response
+
+    def _advance(self, journey: Journey, race: Race) -> Response | None:
+        """Starts an attempt if one is due, or gives the request up."""
+        now = self._clock.now()
+        if now >= journey.deadline:
+            # Attempts that go on may have run, or run until they see that
+            # they are cancelled.
+            journey.may_have_run |= bool(race.running)
+            return self._give_up(journey, "deadline_passed")
+        if now >= race.patience_until and self._may_repeat(journey):
+            choice = self._choose(journey, now)
+            reason = self._objection(journey, choice, now)
+            if choice is not None and reason is None:
+                race.patience_until = self._patience_until(choice, now)
+                race.running.add(self._start(journey, choice))
+            elif race.running:
+                race.patience_until = math.inf
+            else:
+                expected_s = choice.expected_s if choice else math.inf
+                return self._give_up(journey, reason or "", expected_s)
+        if not race.running:
+            return self._give_up(journey, journey.reason)
+        return None
+
+    async def _next_end(self, journey: Journey, race: Race) -> Response | None:
+        """Waits for the end of an attempt, or until another one is due."""
+        now = self._clock.now()
+        until = journey.deadline
+        if self._may_repeat(journey):
+            until = min(until, race.patience_until)
+        done, race.running = await asyncio.wait(
+            race.running,
+            timeout=max(0.0, until - now),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            response = self._conclude(journey, task.result())
+            if response is not None:
+                return response
+        if done and not race.running:
+            race.patience_until = now
+        return None
 
     def _choose(self, journey: Journey, now: float) -> Choice | None:
         route = journey.route
@@ -227,10 +262,10 @@
             route.name,
             key,
             journey.regions,
-            len(journey.call.body),
-            max(0.0, target_s),
-            journey.deadline - now,
-            bool(journey.attempts),
+            body_bytes=len(journey.call.body),
+            target_s=max(0.0, target_s),
+            left_s=journey.deadline - now,
+            is_retry=bool(journey.attempts),
         )
         rule = self._rollouts.rule(journey.service, route.name, now)
         choice = self._choose_by(rule, journey, demand, now)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -111,8 +111,9 @@
         work_s: Part of it that the server works.
         known_warm: Whether it handled the object for this instance lately.
         is_home: Whether it is one of the object's homes.
-        load: Estimated requests at the server.
         is_queued: Whether the request is expected to wait there.
+        load: Estimated requests at the server.
+        cost: What the choice was made by, in seconds.
     """
 
     __slots__ = (
@@ -129,25 +130,26 @@
 
     def __init__(
         self,
+        *,
         server: Server,
         expected_s: float,
+        slow_s: float,
         work_s: float,
         known_warm: bool,
         is_home: bool,
         is_queued: bool,
-        cost: float,
-        slow_s: float,
         load: float,
+        cost: float,
     ) -> None:
         self.server = server
         self.expected_s = expected_s
+        self.slow_s = slow_s
         self.work_s = work_s
         self.known_warm = known_warm
         self.is_home = is_home
         self.is_queued = is_queued
-        self.cost = cost
-        self.slow_s = slow_s
         self.load = load
+        self.cost = cost
 
 
 class Placement:
@@ -210,17 +212,7 @@
         """
         if not servers:
             return None
-        place = None
-        if demand.key is not None:
-            places = self._places.get(demand.service)
-            if places is None:
-                places = ObjectPlaces(self._region, self._failure_domain, now)
-                self._places[demand.service] = places
-            place = places.place(demand.key, servers, demand.body_bytes)
-            nearer = place.homes.by_level[Level.REGION]
-            busy = self.state(nearer.name).load(now) / nearer.entry.slots
-            has_room = busy < ROOM_SHARE
-            places.note(place, demand.body_bytes, has_room, now)
+        place = self._place(demand, servers, now)
         home_region = place.home.region if place else self._region
         near = far = None
         if place is not None:
@@ -233,15 +225,50 @@
             )
         if near is None or far is None or demand.regions:
             return near if far is None else far
+        return (
+            far
+            if self._spills_over(demand, place, far is not near, now)
+            else near
+        )
+
+    def _place(
+        self, demand: Demand, servers: Sequence[Server], now: float
+    ) -> ObjectPlace | None:
+        """Returns the place of a request's object, and counts the request."""
+        if demand.key is None:
+            return None
+        places = self._places.get(demand.service)
+        if places is None:
+            places = ObjectPlaces(self._region, self._failure_domain, now)
+            self._places[demand.service] = places
+        place = places.place(demand.key, servers, demand.body_bytes)
+        nearer = place.homes.by_level[Level.REGION]
+        busy = self.state(nearer.name).load(now) / nearer.entry.slots
+        places.note(place, demand.body_bytes, busy < ROOM_SHARE, now)
+        return place
+
+    def _spills_over(
+        self,
+        demand: Demand,
+        place: ObjectPlace | None,
+        is_better: bool,
+        now: float,
+    ) -> bool:
+        """Whether a request leaves the region of its object's home.
+
+        Args:
+            demand: The request.
+            place: Place of its object, if it has one.
+            is_better: Whether another region is expected to serve it sooner.
+            now: Monotonic seconds.
+        """
         spill = self._spills.get(demand.service)
         if spill is None:
             spill = self._spills[demand.service] = SpillGate(now)
-        is_better = far is not near
         if place is not None:
             self._places[demand.service].note_spill(place, is_better, now)
         # A request that was turned away once goes where there is room.
-        is_far = spill.allow(is_better, now) or demand.is_retry
-        return far if is_far else near
+        return spill.allow(is_better, now) or demand.is_retry
 
     def _cheapest(
         self,
@@ -330,15 +357,15 @@
         if place is not None and server is not place.home:
             cost += _AWAY_COST_S + 1e-5 * place.homes.ranks[server.name]
         return Choice(
-            server,
-            expected_s,
-            work_s,
-            known_warm,
-            is_home,
-            queued > 0,
-            cost,
-            expected_s + work.cold_s - work_s,
-            load,
+            server=server,
+            expected_s=expected_s,
+            slow_s=expected_s + work.cold_s - work_s,
+            work_s=work_s,
+            known_warm=known_warm,
+            is_home=is_home,
+            is_queued=queued > 0,
+            load=load,
+            cost=cost,
         )
 
 
