Take the users' bound in the SHIFT test; correct claims beyond their runs

Change: the bound is the users' 0.15. A fixed sleep in the daemon test is a wait for the event. That aiohttp drops the rest of a body was not measured and is removed.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -2,8 +2,8 @@
 
 The parser is httptools, which aiohttp and sanic use too. aiohttp's client
 does not serve here: it takes a response without a length whose connection was
-reset for a complete one, drops the rest of a body when the response comes
-before it was sent, and cannot skip a late response to an earlier request.
+reset for a complete one, and has no way to skip a late response to an earlier
+request.
 """
 
 from __future__ import annotations
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -82,7 +82,8 @@
     async with fleet(tmp_path) as made:
         gateway = await made.add("g1")
         await made.store.control(down="hang")
-        await asyncio.sleep(1.0)
+        text = gateway.text
+        await eventually(lambda: _contains(text, "store is unreachable"))
         assert (await ask(gateway))[0] == 200
         await made.put(**{"op/config": config(3, keys=("new",))})
         await made.store.control(down="no")
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -76,8 +76,7 @@
                 {name: regions.count(name) / len(regions) for name in "abc"}
             )
         moved = sum(abs(windows[0][n] - windows[1][n]) for n in "abc") / 2
-        # Chance moves part of the requests of a small sample.
-        assert moved <= MAX_SHIFT + 0.1
+        assert moved <= MAX_SHIFT
 
 
 def test_object_goes_to_few_servers():
