Report shifts that no controller has taken up as proposed

Cause: radishctl report reads only the records that controllers write. A shift that was accepted a moment ago has none, so that the command said that there is no report and ended with exit code 5; this is what test_fleet_shift saw once, when it asked right after shift start. Change: shifts of the configuration without a record are reported as proposed. Unknown names still give exit code 5.

--- a/src/radishmux/cli/inspect_commands.py
+++ b/src/radishmux/cli/inspect_commands.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable
 from typing import Annotated, Any
 
 import typer
+from msgspec.structs import replace
 
 from radishmux.cli.connection import (
     DEFAULT_ADMIN,
@@ -13,12 +15,16 @@
     AdminAddresses,
     StoreAddresses,
     fetch_all,
+    read_document,
     run,
 )
 from radishmux.cli.errors import CliError, ExitCode
 from radishmux.cli.output import TEXT, Output, emit
 from radishmux.cli.shift_records import read_shifts, report_text
+from radishmux.config.model import Shift
 from radishmux.outcome import NotFound, Unavailable
+from radishmux.shift.document import ShiftRecord
+from radishmux.shift.plan import Planner
 from radishmux.shift.report import build_report
 
 _MILLISECONDS = 1e3
@@ -72,9 +78,11 @@
     output: Output = TEXT,
 ) -> None:
     """Reports on shifts in words for managers."""
+    records = run(read_shifts(store)).shifts
+    shifts = run(read_document(store)).configuration.shifts
     found = [
         one
-        for one in run(read_shifts(store)).shifts
+        for one in (*records, *proposed_shifts(shifts, records, time.time()))
         if shift in (None, one.name)
     ]
     if shift is not None and not found:
@@ -84,6 +92,25 @@
     emit({"reports": reports}, output, text)
 
 
+def proposed_shifts(
+    shifts: Iterable[Shift], records: Iterable[ShiftRecord], now: float
+) -> list[ShiftRecord]:
+    """Returns records of the shifts that no controller has taken up yet.
+
+    Args:
+        shifts: The shifts of the configuration.
+        records: What controllers have recorded.
+        now: Unix time.
+    """
+    known = {record.name for record in records}
+    planner = Planner()
+    return [
+        replace(planner.propose(one, 0, False, now), accepted_at=0.0)
+        for one in shifts
+        if one.name not in known
+    ]
+
+
 def merge_spans(answers: list[Any]) -> list[dict[str, Any]]:
     """Returns the spans of all instances once, in order of their start."""
     spans: dict[str, dict[str, Any]] = {}
