Name only the members that are leaving or silent in a hub's report

Cause: a hub told each member when it had heard every other one, 2.2 KB twice a second to each. Change: a hub says that it hears all but the named ones, and leaves the demands of the asker's own region out.

--- a/src/radishmux/gateway/digest.py
+++ b/src/radishmux/gateway/digest.py
@@ -13,7 +13,7 @@
 
 from radishmux.clock import Clock
 from radishmux.gateway.rollouts import Rollouts
-from radishmux.membership.peers import Peers
+from radishmux.membership.peers import MemberNews, Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
 from radishmux.share.fleet_rate import FleetRates
@@ -123,6 +123,7 @@
             tallies=self._tallies(audience, asked),
             rollouts=self._views(now),
             members=self._members(audience, now),
+            vouches=audience is Audience.MEMBER,
         )
         if wants_feed:
             report.feed_after = self._mirror.revision
@@ -145,11 +146,14 @@
         name = report.instance
         if not self._peers.heard(name, report.incarnation, report.leaving, now):
             return False
-        for one in report.members or ():
-            heard_at = now - one.age_ms / _MILLISECONDS
-            self._peers.heard(
-                one.instance, one.incarnation, one.leaving, heard_at
-            )
+        if report.vouches:
+            news = [
+                MemberNews(
+                    one.instance, one.incarnation, one.leaving, one.silent
+                )
+                for one in report.members or ()
+            ]
+            self._peers.vouched(self._own.region, news, now)
         for one in report.demands or ():
             measured_at = now - one.age_ms / _MILLISECONDS
             self._demands.take(
@@ -170,7 +174,8 @@
             case Audience.MEMBER:
                 # A member divides the rates of the customers that it holds.
                 held = frozenset(one.customer for one in asked.demands or ())
-                return self._demands.fresh(max_age_s, now, customers=held)
+                others = self._demands.regions - {region}
+                return self._demands.fresh(max_age_s, now, others, held)
             case Audience.REGION:
                 return self._demands.fresh(max_age_s, now, (region,))
             case Audience.HUB:
@@ -185,10 +190,10 @@
             messages.MemberState(
                 instance=one.instance,
                 incarnation=one.incarnation,
-                age_ms=_to_ms(one.age_s),
                 leaving=one.is_leaving,
+                silent=one.is_silent,
             )
-            for one in self._peers.heard_members(self._own.region, now)
+            for one in self._peers.news(self._own.region, now)
         ]
 
     def _views(self, now: float) -> list[Any]:
--- a/src/radishmux/membership/hubs.py
+++ b/src/radishmux/membership/hubs.py
@@ -23,10 +23,9 @@
 # for control stays the same.
 MEMBERS_AT_FULL_PACE = 40
 # Time without a report after which an instance counts as silent, in periods:
-# two reports and a round trip between regions, and one period more for what
-# comes through a hub.
+# two reports and a round trip between regions. What comes through a hub is
+# silent after twice that time.
 _SILENT_PERIODS = 2.6
-_RELAYED_SILENT_PERIODS = 4.0
 
 
 class ExchangePlan:
@@ -116,7 +115,7 @@
         is_mesh=is_mesh,
         followed=frozenset(followed),
         pace=max(1.0, len(members) / MEMBERS_AT_FULL_PACE),
-        silent_periods=_SILENT_PERIODS if is_mesh else _RELAYED_SILENT_PERIODS,
+        silent_periods=_SILENT_PERIODS,
     )
 
 
--- a/src/radishmux/membership/peers.py
+++ b/src/radishmux/membership/peers.py
@@ -37,25 +37,29 @@
         return self.gone_at > self.heard_at
 
 
-class HeardPeer:
-    """When a peer was last heard.
+class MemberNews:
+    """What a hub says about a member that is leaving or silent.
 
     Attributes:
         instance: Its name.
         incarnation: Its process.
-        age_s: Seconds since then.
         is_leaving: Whether callers should go elsewhere.
+        is_silent: Whether the hub has not heard it lately.
     """
 
-    __slots__ = ("age_s", "incarnation", "instance", "is_leaving")
+    __slots__ = ("incarnation", "instance", "is_leaving", "is_silent")
 
     def __init__(
-        self, instance: str, incarnation: int, age_s: float, is_leaving: bool
+        self,
+        instance: str,
+        incarnation: int,
+        is_leaving: bool,
+        is_silent: bool,
     ) -> None:
         self.instance = instance
         self.incarnation = incarnation
-        self.age_s = age_s
         self.is_leaving = is_leaving
+        self.is_silent = is_silent
 
 
 class Peers:
@@ -161,15 +165,39 @@
         if peer is not None:
             peer.gone_at = max(now, peer.heard_at + 1e-6)
 
-    def heard_members(self, region: str, now: float) -> list[HeardPeer]:
-        """Returns when the peers of a region were last heard."""
-        return [
-            HeardPeer(
-                name, peer.incarnation, now - peer.heard_at, peer.is_leaving
+    def news(self, region: str, now: float) -> list[MemberNews]:
+        """Returns what is out of the ordinary with the peers of a region."""
+        news = [
+            MemberNews(
+                name,
+                peer.incarnation,
+                peer.is_leaving,
+                not self.is_heard(name, now),
             )
             for name, peer in self._peers.items()
-            if self._records[name].region == region and self.is_heard(name, now)
+            if self._records[name].region == region
         ]
+        return [one for one in news if one.is_leaving or one.is_silent]
+
+    def vouched(
+        self, region: str, news: Iterable[MemberNews], now: float
+    ) -> None:
+        """Takes that a hub hears the peers of a region.
+
+        Args:
+            region: The region.
+            news: Those that are an exception.
+            now: Monotonic seconds.
+        """
+        silent = set()
+        for one in news:
+            if one.is_silent:
+                silent.add(one.instance)
+            else:
+                self.heard(one.instance, one.incarnation, one.is_leaving, now)
+        for name, peer in self._peers.items():
+            if name not in silent and self._records[name].region == region:
+                peer.heard_at = max(peer.heard_at, now)
 
     def is_heard(self, name: str, now: float) -> bool:
         """Whether a peer has been heard lately."""
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -145,12 +145,13 @@
   4: string fault,
 }
 
-// When an instance was heard, as a hub tells the other members of its region.
+// A member of the region of which its hub says something out of the ordinary:
+// it is leaving, or silent.
 struct MemberState {
   1: string instance,
   2: i64 incarnation,
-  3: i32 age_ms,
-  4: bool leaving,
+  3: bool leaving,
+  4: bool silent,
 }
 
 struct StoreChange {
@@ -179,7 +180,10 @@
   4: list<CustomerDemand> demands,
   5: list<VersionTally> tallies,
   6: list<RolloutView> rollouts,
+  // A hub says to its members that it hears all registered ones of the region
+  // but the silent ones of these.
   7: list<MemberState> members,
+  10: bool vouches = false,
   // The sender wants changes of the store after this revision; -1: none.
   8: i64 feed_after = -1,
   9: StoreFeed feed,
--- a/src/radishmux/share/region_demands.py
+++ b/src/radishmux/share/region_demands.py
@@ -34,6 +34,11 @@
     def __init__(self) -> None:
         self._demands: dict[str, dict[str, RegionDemand]] = {}
 
+    @property
+    def regions(self) -> set[str]:
+        """Regions of which anything is known."""
+        return set(self._demands)
+
     def take(self, demand: RegionDemand) -> None:
         """Takes a demand if it is newer than the one known."""
         known = self._demands.setdefault(demand.region, {})
