Handle objects near only as far as the near servers can carry them

Change: of the objects, as many are handled in the domain, and moved to the region, as the slots there are part of an even share; a hash of the object tells which, the same for all instances. From three quarters of the share on all of them stay, so that even fleets see no change. Test: test_objects_are_handled_near_only_as_far_as_there_are_slots, which failed with 255 requests at a domain whose part is 180.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -150,8 +150,9 @@
                 self._store,
                 keys.status_key,
                 keys.encode_status,
-                settings.bounds.exposure_share,
-                self._turn,
+                settings.bounds,
+                settings.instance,
+                self._fleet,
                 self._clock,
             )
         )
@@ -205,7 +206,9 @@
     async def _enter_requests(self, stack: contextlib.AsyncExitStack) -> None:
         """Enters the request path and the servers."""
         settings, clock = self._settings, self._clock
-        placement = Placement(settings.region, settings.failure_domain)
+        placement = Placement(
+            settings.region, settings.failure_domain, settings.regions
+        )
         self._sender = ServerSender(
             self._state,
             placement,
@@ -259,10 +262,9 @@
         routes = self._state.routes
         return routes.configuration.version if routes else 0
 
-    def _turn(self) -> int:
-        """Returns this instance's place among the registered ones."""
-        names = sorted({*self._state.instances, self._settings.instance})
-        return names.index(self._settings.instance)
+    def _fleet(self) -> list[str]:
+        """Returns the names of the registered instances, sorted."""
+        return sorted({*self._state.instances, self._settings.instance})
 
     def _on_rejected(self, reason: str) -> None:
         self._metrics.count("gateway_unreadable_total", reason=reason)
--- a/src/radishmux/steer/object_places.py
+++ b/src/radishmux/steer/object_places.py
@@ -8,6 +8,10 @@
 large bodies start in the instance's own failure domain: there the bytes that
 would cross domains cost more than a slow first request.
 
+Callers are taken to be spread evenly over the failure domains; servers are
+not. Of the objects, only as many are handled in a domain or region as its
+servers can carry; which ones is told by a hash, the same for all instances.
+
 A server keeps a few dozen objects warm. An object goes to the first servers
 of each region only: with requests spread over all servers, each server saw all
 objects and dropped them before they came again.
@@ -36,6 +40,11 @@
 # Bodies of this size double the worth of being near.
 BODY_SCALE_BYTES = 8_192
 MAX_OBJECTS = 8_192
+_HASHES = 2.0**64
+# Servers that carry this part of what their callers ask for get all of it:
+# load is never that even, and objects do not move with each server that
+# comes or goes.
+ENOUGH_SHARE = 0.75
 
 
 class Level(enum.IntEnum):
@@ -123,11 +132,24 @@
         region: Region of this instance.
         failure_domain: Failure domain of this instance.
         now: Monotonic seconds.
+        regions: Region of each failure domain that callers are in; None: the
+            domains of the servers.
     """
 
-    def __init__(self, region: str, failure_domain: str, now: float) -> None:
+    def __init__(
+        self,
+        region: str,
+        failure_domain: str,
+        now: float,
+        regions: dict[str, str] | None = None,
+    ) -> None:
         self._region = region
         self._failure_domain = failure_domain
+        self._regions = regions
+        self._shares: tuple[Sequence[Server], tuple[float, float]] = (
+            (),
+            (1.0, 1.0),
+        )
         self._places: OrderedDict[int, ObjectPlace] = OrderedDict()
         self._moves = MoveBudget(now)
 
@@ -219,6 +241,8 @@
             ),
             reverse=True,
         )
+        if self._shares[0] is not servers:
+            self._shares = (servers, self._near_shares(servers))
         ranks = {server.name: rank for rank, server in enumerate(ordered)}
         first = ordered[0]
         counts: dict[str, int] = {}
@@ -229,15 +253,62 @@
             is_own = server.region == self._region
             if count < (OWN_CANDIDATES if is_own else OTHER_CANDIDATES):
                 candidates.append(server)
-        in_region = next(
-            (one for one in candidates if one.region == self._region), first
-        )
+        in_region, in_domain = self._nearer_homes(key, ordered, candidates)
+        return Homes((first, in_region, in_domain), tuple(candidates), ranks)
+
+    def _nearer_homes(
+        self, key: int, ordered: list[Server], candidates: list[Server]
+    ) -> tuple[Server, Server]:
+        """Returns the homes of an object in the region and the domain.
+
+        They are wider ones for objects that the nearer servers cannot carry.
+        """
+        place = xxhash.xxh3_64_intdigest(b"place", seed=key) / _HASHES
+        domain_share, region_share = self._shares[1]
+        first = in_region = ordered[0]
+        if place < region_share:
+            in_region = next(
+                (one for one in candidates if one.region == self._region),
+                first,
+            )
+        # The domain's servers have their part with the objects that stay.
+        stays = place < domain_share
         in_domain = next(
             (
                 one
                 for one in ordered
-                if one.entry.failure_domain == self._failure_domain
+                if one.region == self._region
+                and (one.entry.failure_domain == self._failure_domain) is stays
             ),
             in_region,
         )
-        return Homes((first, in_region, in_domain), tuple(candidates), ranks)
+        if place >= region_share and not stays:
+            in_domain = first
+        return in_region, in_domain
+
+    def _near_shares(self, servers: Sequence[Server]) -> tuple[float, float]:
+        """Returns the parts of the objects that are handled near.
+
+        They are what the servers of this failure domain and of this region
+        can carry of what their own callers ask for; 1 and more means all.
+        """
+        own_domain, own_region = self._failure_domain, self._region
+        fleet = domain = region = 0
+        for server in servers:
+            slots = server.entry.slots
+            fleet += slots
+            domain += slots * (server.entry.failure_domain == own_domain)
+            region += slots * (server.region == own_region)
+        regions = self._regions or {
+            server.entry.failure_domain: server.region for server in servers
+        }
+        each = max(1, fleet) / max(1, len(regions))
+        domains = max(1, list(regions.values()).count(own_region))
+        region_share = region / (each * domains)
+        # What a region lacks, each of its domains lacks.
+        domain_share = min(domain / each, region_share)
+        return _rounded(domain_share), _rounded(region_share)
+
+
+def _rounded(share: float) -> float:
+    return 1.0 if share >= ENOUGH_SHARE else share
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -158,11 +158,19 @@
     Args:
         region: Region of this instance.
         failure_domain: Failure domain of this instance.
+        regions: Region of each failure domain that callers are in; None: the
+            domains of the servers.
     """
 
-    def __init__(self, region: str, failure_domain: str) -> None:
+    def __init__(
+        self,
+        region: str,
+        failure_domain: str,
+        regions: dict[str, str] | None = None,
+    ) -> None:
         self._region = region
         self._failure_domain = failure_domain
+        self._regions = regions
         self._states: dict[str, ServerState] = {}
         self._works: dict[tuple[str, str], WorkTimes] = {}
         self._places: dict[str, ObjectPlaces] = {}
@@ -239,7 +247,9 @@
             return None
         places = self._places.get(demand.service)
         if places is None:
-            places = ObjectPlaces(self._region, self._failure_domain, now)
+            places = ObjectPlaces(
+                self._region, self._failure_domain, now, self._regions
+            )
             self._places[demand.service] = places
         place = places.place(demand.key, servers, demand.body_bytes)
         nearer = place.homes.by_level[Level.REGION]
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -6,6 +6,7 @@
 
 from radishmux.steer.move_budget import MoveBudget, SpillGate
 from radishmux.steer.object_places import (
+    LARGE_BODY_BYTES,
     OTHER_CANDIDATES,
     OWN_CANDIDATES,
     Level,
@@ -13,7 +14,7 @@
 )
 from radishmux.steer.placement import Demand, Placement
 from radishmux.steer.server_state import SHED_PAUSE_S
-from tests.gateway.parts import server
+from tests.gateway.parts import REGIONS, server
 from tests.steer.warm_fleet import WarmFleet, WarmServer
 
 DOMAINS = ("a-1", "a-2", "b-1", "b-2", "c-1", "c-2")
@@ -107,6 +108,31 @@
         assert not places.note(place, 60_000, True, 100.0)
 
 
+def test_objects_are_handled_near_only_as_far_as_there_are_slots():
+    """Grown fleets: a region and a domain with a fraction of the room.
+
+    Callers are spread evenly; the servers of region a are a fifth of all, and
+    domain a-2 has one of them. At homes in the callers' own domain each of
+    them would get several times what others get.
+    """
+    counts = {"a-1": 3, "a-2": 1, "b-1": 4, "b-2": 4, "c-1": 4, "c-2": 4}
+    records = tuple(
+        server(f"{domain}-{n}", domain)
+        for domain, count in counts.items()
+        for n in range(count)
+    )
+    handled = dict.fromkeys(counts, 0)
+    objects = 600
+    for domain in counts:
+        places = ObjectPlaces(domain[0], domain, 0.0, REGIONS)
+        for key in range(objects):
+            home = places.place(key, records, LARGE_BODY_BYTES).home
+            handled[home.entry.failure_domain] += 1
+    each = len(counts) * objects / len(records)
+    for domain, count in counts.items():
+        assert handled[domain] <= 1.35 * count * each, domain
+
+
 def test_lost_server_moves_only_its_own_objects():
     records = tuple(one.record for one in warm_servers())
     places = ObjectPlaces("a", "a-1", 0.0)
