Start a new version's turns at different points on different instances

Cause: each instance of a large fleet gets a request of a service every few seconds. All began to count at 0, so that a new version got nothing for seconds, and a cap of 8% of few requests rounds to none: of good versions with 30 requests a second on 60 instances none was completed in 15 s. Change: the counts of an instance start at a hash of its name, service and route, so that over all instances the parts round to what they should; the slack of the bound is divided by the instances. Tests: test_good_version_of_a_rare_service_is_completed_in_a_large_fleet fails without it (state running), test_bad_version_in_a_large_fleet_keeps_to_the_bound.

--- a/src/radishmux/gateway/rollouts.py
+++ b/src/radishmux/gateway/rollouts.py
@@ -7,9 +7,15 @@
 from radishmux.clock import Clock
 from radishmux.gateway.events import Event, RolloutPut, StatusPut
 from radishmux.outcome import Unavailable
+from radishmux.settings.gateway import Bounds
 from radishmux.shift.evidence import SLOW_FACTOR
 from radishmux.shift.orders import RolloutState, RolloutStatus
-from radishmux.shift.rollout import ANY_VERSION, Rollout, VersionRule
+from radishmux.shift.rollout import (
+    ANY_VERSION,
+    USED_SLACK,
+    Rollout,
+    VersionRule,
+)
 from radishmux.store.interface import ObservableStore
 from radishmux.tasks import Background, repeat
 from radishmux.telemetry.logs import state_change
@@ -29,9 +35,9 @@
         store: Takes the states.
         status_key: Returns the key of a service's state.
         encode_status: Returns the document at that key.
-        exposure_share: Part of a service's requests that a bad version may
-            get.
-        turn: Returns this instance's place among the living ones, from 0.
+        bounds: What operators require.
+        instance: Name of this instance.
+        fleet: Returns the names of all registered instances.
         clock: Monotonic time.
     """
 
@@ -40,15 +46,17 @@
         store: ObservableStore,
         status_key: Callable[[str], str],
         encode_status: Callable[[RolloutStatus], bytes],
-        exposure_share: float,
-        turn: Callable[[], int],
+        bounds: Bounds,
+        instance: str,
+        fleet: Callable[[], list[str]],
         clock: Clock,
     ) -> None:
         self._store = store
         self._status_key = status_key
         self._encode_status = encode_status
-        self._exposure_share = exposure_share
-        self._turn = turn
+        self._bounds = bounds
+        self._instance = instance
+        self._fleet = fleet
         self._clock = clock
         self._rollouts: dict[str, Rollout] = {}
         self._orders: dict[str, RolloutPut] = {}
@@ -129,8 +137,13 @@
         if held is not None and held.revision >= event.revision:
             return
         self._orders[event.service] = event
+        slack = USED_SLACK * self._bounds.exposure_slack
         self._rollouts[event.service] = Rollout(
-            event.order, self._exposure_share, now
+            event.order,
+            self._bounds.exposure_share,
+            now,
+            self._instance,
+            slack / len(self._fleet()),
         )
         self._apply_status(event.service)
 
@@ -162,7 +175,8 @@
             if state is not wanted:
                 since = now
             self._due_since[service] = (wanted, since)
-            if now - since >= TURN_S * self._turn():
+            turn = self._fleet().index(self._instance)
+            if now - since >= TURN_S * turn:
                 await self._write(service, rollout, wanted)
 
     def _is_recorded(
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -64,6 +64,7 @@
         quota_slack: Requests by which it may exceed its rate and burst.
         cold_overrun: Factor by which a cold server's rate may be exceeded.
         exposure_share: Fraction of a service's requests for a new version.
+        exposure_slack: Requests that it may get beyond that fraction.
         lookup_ttl_s: Longest time for which an answer of the directory counts.
     """
 
@@ -77,6 +78,7 @@
     quota_slack: float = 10.0
     cold_overrun: float = 1.5
     exposure_share: float = 0.1
+    exposure_slack: float = 50.0
     lookup_ttl_s: float = 5.0
 
 
--- a/src/radishmux/shift/rollout.py
+++ b/src/radishmux/shift/rollout.py
@@ -11,6 +11,8 @@
 
 import enum
 
+import xxhash
+
 from radishmux.shift.evidence import Evidence
 from radishmux.shift.orders import RolloutOrder, RolloutState, RolloutStatus
 
@@ -32,6 +34,13 @@
 # Part of a rare route's requests that the new version gets until it has been
 # judged there.
 RARE_ROUTE_PART = 3.0
+# Part of the operators' bound on the share that is used.
+USED_SHARE = 0.8
+# Requests beyond its share that one instance may send to a new version: its
+# part of the operators' slack, and no more than are needed in a small fleet.
+USED_SLACK = 0.5
+MAX_SLACK = 2.0
+_HASHES = 2.0**64
 
 
 class Phase(enum.Enum):
@@ -81,13 +90,22 @@
         exposure_share: Part of the service's requests that a bad version may
             get over the whole time.
         now: Monotonic seconds when the order became known.
+        instance: Name of this instance.
+        slack: Requests beyond that share that this instance may send to it.
     """
 
     def __init__(
-        self, order: RolloutOrder, exposure_share: float, now: float
+        self,
+        order: RolloutOrder,
+        exposure_share: float,
+        now: float,
+        instance: str = "",
+        slack: float = MAX_SLACK,
     ) -> None:
         self._order = order
         self._exposure_share = exposure_share
+        self._instance = instance
+        self._slack = min(MAX_SLACK, slack)
         self._since = now
         self._evidence = Evidence()
         self._fault: str | None = None
@@ -177,15 +195,28 @@
             return VersionRule(only=version)
         self._requests += 1
         part = self._part(phase, route)
-        credit = self._credits.get(route, 0.0) + part
+        if route not in self._credits:
+            self._credits[route] = self._start_of(route)
+        credit = self._credits[route] + part
         self._credits[route] = credit - (credit >= 1.0)
-        most = self._exposure_share * 0.8 * self._requests + 1
-        if credit < 1.0 or self._new_requests >= most:
+        share = USED_SHARE * self._exposure_share
+        most = share * self._requests + self._slack + self._start_of("")
+        if credit < 1.0 or self._new_requests + 1 > most:
             self._credits[route] = min(1.0, self._credits[route])
             return VersionRule(never=version)
         self._new_requests += 1
         return VersionRule(only=version, is_trial=phase is Phase.CANARY)
 
+    def _start_of(self, route: str) -> float:
+        """Returns the part of a request that this instance starts with.
+
+        The instances of a large fleet get few requests each. If all started
+        at 0, a new version would get nothing for much of its time. Over all
+        instances the parts round to as many requests as they should.
+        """
+        name = f"{self._instance}\0{self._order.service}\0{route}"
+        return xxhash.xxh3_64_intdigest(name.encode()) / _HASHES
+
     def _part(self, phase: Phase, route: str) -> float:
         part = CANARY_PART if phase is Phase.CANARY else RAMP_PART
         version = self._order.version
--- a/tests/shift/test_rollout.py
+++ b/tests/shift/test_rollout.py
@@ -18,13 +18,22 @@
 class Trial:
     """Plays one order on several instances that pool their evidence."""
 
-    def __init__(self, fails, instances=5, seed=1, routes=("r",)):
+    def __init__(
+        self, fails, instances=5, seed=1, routes=("r",), rate_per_s=RATE_PER_S
+    ):
         self.fails = fails
         self.rng = random.Random(seed)
         self.routes = routes
+        self.rate_per_s = rate_per_s
         order = RolloutOrder("s", "v2", DURATION_S)
         self.nodes = [
-            Rollout(order, EXPOSURE, 0.3 * n / instances)
+            Rollout(
+                order,
+                EXPOSURE,
+                0.3 * n / instances,
+                f"i{n}",
+                0.5 * EXPOSURE_SLACK / instances,
+            )
             for n in range(instances)
         ]
         self.new = self.total = self.bad = 0
@@ -33,7 +42,7 @@
         self.now = 0.5
 
     def run(self):
-        step = 1 / RATE_PER_S
+        step = 1 / self.rate_per_s
         next_report = self.now
         while self.now < DURATION_S and self.state is RolloutState.RUNNING:
             self._request(self.rng.choice(self.nodes))
@@ -108,6 +117,20 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
+def test_good_version_of_a_rare_service_is_completed_in_a_large_fleet(seed):
+    """60 instances with a request every two seconds each: the grown fleets."""
+    trial = Trial(good, instances=60, seed=seed, rate_per_s=30).run()
+    assert trial.state is RolloutState.COMPLETED
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_bad_version_in_a_large_fleet_keeps_to_the_bound(seed):
+    trial = Trial(errors, instances=60, seed=seed, rate_per_s=30).run()
+    assert trial.state is RolloutState.ROLLED_BACK
+    assert trial.new <= EXPOSURE * trial.total + EXPOSURE_SLACK
+
+
+@pytest.mark.parametrize("seed", range(5))
 def test_fault_that_no_instance_sees_alone_is_found(seed):
     trial = Trial(errors, instances=60, seed=seed).run()
     assert trial.state is RolloutState.ROLLED_BACK
