--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -190,6 +190,7 @@
                 holders,
                 digest,
                 self._clock,
+                settings.full_mesh_max,
             )
         )
         self._allowance = Allowance(self._rates, holders, bus, self._clock)
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -8,7 +8,11 @@
 
 from radishmux.clock import Clock
 from radishmux.gateway.digest import Audience, Digest
-from radishmux.membership.hubs import ExchangePlan, exchange_plan
+from radishmux.membership.hubs import (
+    FULL_MESH_MAX,
+    ExchangePlan,
+    exchange_plan,
+)
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
@@ -45,6 +49,7 @@
         holders: Is told who may hold tokens.
         digest: Writes and reads the reports.
         clock: Monotonic time.
+        full_mesh_max: Up to this many instances, each is a hub.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         holders: TokenHolders,
         digest: Digest,
         clock: Clock,
+        full_mesh_max: int = FULL_MESH_MAX,
     ) -> None:
         self._own = own
         self._bus = bus
@@ -64,6 +70,7 @@
         self._holders = holders
         self._digest = digest
         self._clock = clock
+        self._full_mesh_max = full_mesh_max
         self._plan = exchange_plan(own, (), lambda name: False)
         self._pending: dict[str, asyncio.Task[None]] = {}
         # Hub that is asked for changes of the store.
@@ -142,6 +149,7 @@
             self._own,
             self._peers.records.values(),
             lambda name: self._peers.is_usable(name, now),
+            self._full_mesh_max,
         )
         if plan.is_hub != was_hub:
             state_change("hub of the region", "on" if plan.is_hub else "off")
--- a/src/radishmux/membership/hubs.py
+++ b/src/radishmux/membership/hubs.py
@@ -15,7 +15,7 @@
 
 from radishmux.membership.record import InstanceRecord
 
-# Up to this many instances, each is a hub.
+# Up to this many instances, each is a hub, unless the settings say otherwise.
 FULL_MESH_MAX = 16
 # One hub may be dead or cut off.
 HUBS_PER_REGION = 2
@@ -79,6 +79,7 @@
     own: InstanceRecord,
     peers: Iterable[InstanceRecord],
     is_usable: Callable[[str], bool],
+    full_mesh_max: int = FULL_MESH_MAX,
 ) -> ExchangePlan:
     """Returns with whom an instance exchanges reports.
 
@@ -86,9 +87,10 @@
         own: Its record.
         peers: Records of the registered peers.
         is_usable: Whether a peer lives and is not leaving, as far as known.
+        full_mesh_max: Up to this many instances, each is a hub.
     """
     everyone = [own, *peers]
-    is_mesh = len(everyone) <= FULL_MESH_MAX
+    is_mesh = len(everyone) <= full_mesh_max
     by_region: dict[str, list[InstanceRecord]] = {}
     for record in everyone:
         by_region.setdefault(record.region, []).append(record)
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from radishmux.membership.hubs import FULL_MESH_MAX
 from radishmux.settings.daemon import LogSettings
 from radishmux.settings.loader import load
 
@@ -97,6 +98,8 @@
         cpu_share: Share of each core that the process may use.
         cores: Cores of the machine, relative to a usual one.
         link_mbps: Bandwidth of the machine.
+        full_mesh_max: Up to this many instances, each exchanges reports with
+            every other one; in larger fleets through hubs.
         logs: Log output.
     """
 
@@ -111,6 +114,7 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    full_mesh_max: int = FULL_MESH_MAX
     logs: LogSettings = LogSettings()
 
 
--- a/src/radishmux/store/mirror.py
+++ b/src/radishmux/store/mirror.py
@@ -40,6 +40,8 @@
 # A feed from a hub that has not heard the store for longer than this says
 # nothing: as long as a busy store may let a watch wait.
 MAX_FEED_AGE_S = 1.6
+# Two feeds tell of the same return of the store if they date it this close.
+_RETURN_TOLERANCE_S = 0.5
 # Pause after a failed call, with as much again at random, so that instances
 # do not return together.
 RETRY_PAUSE_S = 0.15
@@ -132,14 +134,22 @@
         """
         if self._revision < 0 or feed.contact_age_s > MAX_FEED_AGE_S:
             return
-        returned = feed.returned_ago_s
-        if returned is not None and now - returned > (self._returned_at or 0.0):
-            self._returned_at = now - returned
-            self._listener.on_returned(self._returned_at)
+        self._take_return(feed, now)
         self._contact_at = max(self._contact_at, now - feed.contact_age_s)
         self._fed_until = now + FEED_VALID_S * pace
         self._apply(feed.changes, feed.as_of, now)
 
+    def _take_return(self, feed: Feed, now: float) -> None:
+        """Takes the end of an outage that the hub saw."""
+        if feed.returned_ago_s is None:
+            return
+        returned_at = now - feed.returned_ago_s
+        known = self._returned_at
+        # Each feed dates the same return a little later.
+        if known is None or returned_at > known + _RETURN_TOLERANCE_S:
+            self._returned_at = returned_at
+            self._listener.on_returned(returned_at)
+
     async def _run(self) -> None:
         while True:
             try:
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -23,7 +23,7 @@
 class Gateway:
     """One daemon."""
 
-    def __init__(self, name, region, domain, store, folder):
+    def __init__(self, name, region, domain, store, folder, **settings):
         addresses = free_addresses(5)
         self.name = name
         self.caller, self.ready, self.directory, self.metrics = addresses[:4]
@@ -44,7 +44,7 @@
             },
             "store": {"address": store, "min_lease_s": None},
             "bounds": {"grace_s": 4.0, "quota_slack": 20},
-        }
+        } | settings
         self.process = None
 
     async def start(self):
@@ -110,10 +110,15 @@
             async with session.post(url, json=encoded) as response:
                 response.raise_for_status()
 
-    async def add(self, name, domain="a-1"):
+    async def add(self, name, domain="a-1", **settings):
         """Starts one more gateway."""
         gateway = Gateway(
-            name, domain[0], domain, self.store.address, self.folder
+            name,
+            domain[0],
+            domain,
+            self.store.address,
+            self.folder,
+            **settings,
         )
         self.gateways.append(gateway)
         await gateway.start()
