Send callers to instances by what these can serve; register without a read

Cause: callers were divided evenly over instances of 0.43 cores and 10 Mbit/s and of 2.15 cores and 200 Mbit/s. An upload of 60 KB takes 96 ms over the small link, in and out. Each start read the own record before it wrote it, although there is none as a rule. Change: an instance's record says how many requests a second it can serve, the lesser of processor and link; where instances differ by a quarter or more, the directory names three, drawn by that weight. The record is written first, and read only after a conflict. Tests: test_callers_are_divided_by_what_instances_can_serve (fails when all are named), test_equal_instances_are_all_named.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from types import TracebackType
 
@@ -28,7 +29,7 @@
 from radishmux.http.pipelined import PipelinedServer
 from radishmux.http.response import Response
 from radishmux.membership.peers import Peers
-from radishmux.membership.record import InstanceRecord
+from radishmux.membership.record import InstanceRecord, capacity_per_s
 from radishmux.membership.registrar import Registrar
 from radishmux.peer.bus import PeerBus
 from radishmux.platform import dialect, keys
@@ -65,6 +66,7 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         self._leaving = False
+        self._rng = random.Random()
         self._members: frozenset[str] = frozenset()
         self._record = InstanceRecord(
             instance=settings.instance,
@@ -73,7 +75,9 @@
             failure_domain=settings.failure_domain,
             caller_address=settings.listen.caller,
             peer_address=f"{settings.ip}:{settings.listen.peer_ports[0]}",
-            capacity=settings.cpu_share * settings.cores,
+            capacity=capacity_per_s(
+                settings.cpu_share * settings.cores, settings.link_mbps
+            ),
         )
 
     @property
@@ -322,4 +326,4 @@
         if not self._leaving:
             known.append(self._record)
         ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
-        return nearest(known, region, failure_domain), ttl_s
+        return nearest(known, region, failure_domain, self._rng), ttl_s
--- a/src/radishmux/membership/registrar.py
+++ b/src/radishmux/membership/registrar.py
@@ -6,7 +6,7 @@
 
 from radishmux.clock import Clock
 from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
-from radishmux.store.interface import ObservableStore
+from radishmux.store.interface import Entry, ObservableStore
 from radishmux.tasks import Background, repeat
 from radishmux.telemetry.logs import state_change
 
@@ -78,16 +78,20 @@
         return None
 
     async def _register(self) -> None:
-        held = await self._store.get(self._key, CALL_TIMEOUT_S)
-        if isinstance(held, NotFound):
-            revision = 0
-        elif isinstance(held, Unavailable):
-            return
-        else:
-            revision = held.revision
-        written = await self._store.compare_and_swap(
-            self._key, revision, self._record, CALL_TIMEOUT_S, self._lease_id
-        )
+        """Writes the record; there is none as a rule, so it is not read first.
+
+        The process before this one, or a write whose answer was lost, may
+        have left one.
+        """
+        written = await self._write(0)
+        if isinstance(written, Conflict):
+            held = await self._store.get(self._key, CALL_TIMEOUT_S)
+            if isinstance(held, NotFound):
+                written = await self._write(0)
+            elif isinstance(held, Unavailable):
+                return
+            else:
+                written = await self._write(held.revision)
         if isinstance(written, NotFound):
             self._lease_id = 0
         elif isinstance(written, (Conflict, Unknown, Unavailable)):
@@ -95,3 +99,10 @@
         else:
             self._registered = True
             state_change("registration", "in the store", key=self._key)
+
+    async def _write(
+        self, revision: int
+    ) -> Entry | Conflict | Unknown | Unavailable:
+        return await self._store.compare_and_swap(
+            self._key, revision, self._record, CALL_TIMEOUT_S, self._lease_id
+        )
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
 from radishmux.membership.peers import SILENT_AFTER_S, Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.steer.directory import nearest
 
+RNG = random.Random(1)
+
 
-def record(name, incarnation=1, domain="a-1"):
+def record(name, incarnation=1, domain="a-1", capacity=1.0):
     return InstanceRecord(
         instance=name,
         incarnation=incarnation,
@@ -15,6 +19,7 @@
         failure_domain=domain,
         caller_address=f"{name}:1",
         peer_address=f"{name}:2",
+        capacity=capacity,
     )
 
 
@@ -93,7 +98,31 @@
         record("2", domain="a-2"),
         record("3", domain="b-1"),
     ]
-    assert [one.instance for one in nearest(known, "a", "a-2")] == ["2"]
-    assert [one.instance for one in nearest(known, "a", "a-3")] == ["1", "2"]
-    assert len(nearest(known, "z", "z-1")) == 3
-    assert nearest([], "a", "a-1") == []
+    assert [one.instance for one in nearest(known, "a", "a-2", RNG)] == ["2"]
+    assert [one.instance for one in nearest(known, "a", "a-3", RNG)] == [
+        "1",
+        "2",
+    ]
+    assert len(nearest(known, "z", "z-1", RNG)) == 3
+    assert nearest([], "a", "a-1", RNG) == []
+
+
+def test_callers_are_divided_by_what_instances_can_serve():
+    """Two large instances among eight small ones, as in the grown fleets."""
+    known = [record(f"large{n}", capacity=700.0) for n in range(2)]
+    known += [record(f"small{n}", capacity=70.0) for n in range(8)]
+    picked = dict.fromkeys((one.instance for one in known), 0)
+    lookups = 20_000
+    for _ in range(lookups):
+        named = nearest(known, "a", "a-1", RNG)
+        assert len(named) > 1
+        picked[RNG.choice(named).instance] += 1
+    total = sum(one.capacity for one in known)
+    for one in known:
+        part = one.capacity / total
+        assert 0.6 * part <= picked[one.instance] / lookups <= 1.8 * part
+
+
+def test_equal_instances_are_all_named():
+    known = [record(f"x{n}", capacity=70.0 + n) for n in range(10)]
+    assert len(nearest(known, "a", "a-1", RNG)) == 10
