Add a fault soak: real daemons under seeded faults, checked from outside

Each check is shown to find its broken rule. Not in it: clocks that misbehave, and faults between instances.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	PYTHONPATH=src:. $(BIN)/python scripts/demo.py
 
 lint: install
-	$(BIN)/ruff format --check src standins bench tests scripts
-	$(BIN)/ruff check src standins bench tests scripts
+	$(BIN)/ruff format --check src standins bench soak tests scripts
+	$(BIN)/ruff check src standins bench soak tests scripts
 
 format: install
-	$(BIN)/ruff format src standins bench tests scripts
-	$(BIN)/ruff check --fix src standins bench tests scripts
+	$(BIN)/ruff format src standins bench soak tests scripts
+	$(BIN)/ruff check --fix src standins bench soak tests scripts
 
 test: lint
 	$(BIN)/python -m pytest -n 6 --dist loadfile
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,247 @@
+"""Checks the users' rules on the records of a run; pure.
+
+Bounds are the users'. A machine is in touch while nothing was wrong with it
+or the store for `CONTACT_S`; rules with a time bound hold for machines in
+touch only.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
+
+from radishmux.registry import Registry
+from soak.records import Call, Disruption, History, Run
+
+CONTACT_S = 4.0
+CONFIG_APPLY_S = 2.5
+REVOKE_S = 5.0
+DRAIN_S = 2.5
+ROLLBACK_SLACK_S = 0.25
+GRACE_S = 6.0
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERRUN = 0.1
+QUOTA_SLACK = 20
+RECOVERY_S = 15.0
+RECOVERED_SHARE = 0.25
+# These statuses say that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+# Faults of gateways and their links to the store.
+_STORE_WIDE = ""
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A broken rule.
+
+    Attributes:
+        rule: The users' name of the rule.
+        at: Unix seconds.
+        detail: What was seen.
+    """
+
+    rule: str
+    at: float
+    detail: str
+
+
+Check = Callable[[History], Iterator[Violation]]
+CHECKS: Registry[str, Check] = Registry("check")
+
+
+def violations(history: History) -> list[Violation]:
+    """Returns all broken rules, in the order of time."""
+    found = [one for name in CHECKS for one in CHECKS[name](history)]
+    return sorted(found, key=lambda one: one.at)
+
+
+def is_in_touch(
+    gateway: str, at: float, disruptions: Iterable[Disruption]
+) -> bool:
+    """Whether nothing was wrong with a gateway in the time before."""
+    return not any(
+        one.target in (gateway, _STORE_WIDE)
+        and one.since <= at
+        and one.until >= at - CONTACT_S
+        for one in disruptions
+    )
+
+
+def _runs_by_id(history: History) -> dict[str, list[Run]]:
+    runs = collections.defaultdict(list)
+    for run in history.runs:
+        runs[run.id].append(run)
+    return runs
+
+
+@CHECKS.register("TWICE")
+def _at_most_once(history: History) -> Iterator[Violation]:
+    runs = _runs_by_id(history)
+    for call in history.calls:
+        ran = runs.get(call.id, [])
+        if not call.idempotent and len(ran) > 1:
+            servers = ", ".join(one.server for one in ran)
+            yield Violation("TWICE", call.sent_at, f"{call.id} at {servers}")
+
+
+@CHECKS.register("REFUSED")
+def _true_refusals(history: History) -> Iterator[Violation]:
+    runs = _runs_by_id(history)
+    for call in history.calls:
+        if call.status in NOT_RUN and not call.idempotent and runs.get(call.id):
+            yield Violation(
+                "REFUSED", call.sent_at, f"{call.id}: {call.status}, but it ran"
+            )
+
+
+@CHECKS.register("MIXED")
+def _own_whole_answers(history: History) -> Iterator[Violation]:
+    for call in history.calls:
+        if 200 <= call.status < 300 and not call.is_whole:
+            yield Violation("MIXED", call.sent_at, f"{call.id} at a caller")
+
+
+@CHECKS.register("UNASKED")
+def _known_requests(history: History) -> Iterator[Violation]:
+    calls = {call.id: call for call in history.calls}
+    for run in history.runs:
+        call = calls.get(run.id)
+        if call is None or run.target != call.path:
+            yield Violation("UNASKED", run.at, f"{run.id} {run.target}")
+        elif run.key or run.tenant != call.customer:
+            detail = f"{run.id} as {run.tenant!r} of {call.customer!r}"
+            yield Violation("UNASKED", run.at, detail)
+
+
+@CHECKS.register("QUOTA")
+def _rates(history: History) -> Iterator[Violation]:
+    sent = {call.id: call.sent_at for call in history.calls}
+    for customer, (rate, burst) in history.rates.items():
+        most = (rate * QUOTA_WINDOW_S + burst) * (1 + QUOTA_OVERRUN)
+        most += QUOTA_SLACK
+        # Requests that were both sent and run within a window.
+        pairs = sorted(
+            (run.at, sent.get(run.id, run.at))
+            for run in history.runs
+            if run.tenant == customer
+        )
+        window: collections.deque[tuple[float, float]] = collections.deque()
+        for at, sent_at in pairs:
+            window.append((at, sent_at))
+            while window and window[0][0] < at - QUOTA_WINDOW_S:
+                window.popleft()
+            count = sum(one[1] >= at - QUOTA_WINDOW_S for one in window)
+            if count > most:
+                detail = f"{customer}: {count} in a window, {most:g} allowed"
+                yield Violation("QUOTA", at, detail)
+                break
+
+
+@CHECKS.register("DRAIN")
+def _draining_servers(history: History) -> Iterator[Violation]:
+    calls = {call.id: call for call in history.calls}
+    drained = {
+        act.subject: act.at for act in history.acts if act.kind == "drain"
+    }
+    for run in history.runs:
+        at = drained.get(run.server)
+        call = calls.get(run.id)
+        if at is None or call is None or call.sent_at <= at + DRAIN_S:
+            continue
+        if is_in_touch(call.gateway, call.sent_at, history.disruptions):
+            detail = f"{run.id} at {run.server}, {run.at - at:.2f} s after"
+            yield Violation("DRAIN", run.at, detail)
+
+
+@CHECKS.register("KEYS")
+def _withdrawn_keys(history: History) -> Iterator[Violation]:
+    withdrawn = {
+        act.subject: act.at
+        for act in history.acts
+        if act.kind == "key_withdrawn"
+    }
+    runs = _runs_by_id(history)
+    for call in history.calls:
+        at = withdrawn.get(call.key)
+        if at is None or not runs.get(call.id):
+            continue
+        if call.sent_at > at + REVOKE_S and is_in_touch(
+            call.gateway, call.sent_at, history.disruptions
+        ):
+            detail = f"{call.id}, {call.sent_at - at:.2f} s after"
+            yield Violation("KEYS", call.sent_at, detail)
+
+
+@CHECKS.register("CONFIG")
+def _configuration(history: History) -> Iterator[Violation]:
+    """Route `/vN/` exists from version N on and is never taken away."""
+    acknowledged = {
+        f"/v{act.subject}/": act.at
+        for act in history.acts
+        if act.kind == "configuration"
+    }
+    for calls in _by_process(history):
+        seen: dict[str, float] = {}
+        for call in sorted(calls, key=lambda one: one.sent_at):
+            at = acknowledged.get(call.path)
+            if at is None or call.status not in (200, 404):
+                continue
+            if call.status == 200:
+                seen.setdefault(call.path, call.ended_at)
+                continue
+            since = seen.get(call.path)
+            if since is not None and call.sent_at > since + ROLLBACK_SLACK_S:
+                detail = f"{call.gateway} took {call.path} back"
+                yield Violation("CONFIG", call.sent_at, detail)
+            if call.sent_at > at + CONFIG_APPLY_S and is_in_touch(
+                call.gateway, call.sent_at, history.disruptions
+            ):
+                late_s = call.sent_at - at
+                detail = f"{call.gateway} lacks {call.path}, {late_s:.2f} s"
+                yield Violation("CONFIG", call.sent_at, detail)
+
+
+def _by_process(history: History) -> Iterator[list[Call]]:
+    """Yields the calls that one process of a gateway answered."""
+    by_gateway = collections.defaultdict(list)
+    for call in history.calls:
+        by_gateway[call.gateway].append(call)
+    for gateway, calls in by_gateway.items():
+        starts = [*history.starts.get(gateway, [0.0]), float("inf")]
+        for since, until in zip(starts, starts[1:], strict=False):
+            yield [one for one in calls if since <= one.sent_at < until]
+
+
+@CHECKS.register("LOST")
+def _graceful_shutdown(history: History) -> Iterator[Violation]:
+    """A request that a terminating gateway has read is answered."""
+    terms = [one for one in history.disruptions if one.kind == "gateway_term"]
+    runs = _runs_by_id(history)
+    for call in history.calls:
+        if call.status or call.is_timeout or not runs.get(call.id):
+            continue
+        for term in terms:
+            if term.target != call.gateway:
+                continue
+            if not term.since - 1 <= call.ended_at <= term.since + GRACE_S:
+                continue
+            others = [
+                one
+                for one in history.disruptions
+                if one is not term and one.since <= call.ended_at
+            ]
+            calm = all(one.until < call.sent_at - CONTACT_S for one in others)
+            if calm:
+                detail = f"{call.id} at {call.gateway}, which was terminating"
+                yield Violation("LOST", call.ended_at, detail)
+
+
+@CHECKS.register("RECOVER")
+def _recovery(history: History) -> Iterator[Violation]:
+    since = history.faults_end + RECOVERY_S
+    late = [call for call in history.calls if call.sent_at >= since]
+    served = sum(call.status == 200 for call in late)
+    if late and served < RECOVERED_SHARE * len(late):
+        detail = f"{served} of {len(late)} served after the faults"
+        yield Violation("RECOVER", since, detail)
--- /dev/null
+++ b/soak/injector.py
@@ -0,0 +1,189 @@
+"""Injects the faults of a schedule into a running fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from radishmux.registry import Registry
+from soak.faults import Fault, Schedule
+from soak.fleet import LEAVE_AFTER_S, Server, SoakFleet
+from soak.proxy import Link
+from tests.gateway.fleet import Gateway
+
+Inject = Callable[["Injector", Fault], Awaitable[None]]
+_INJECT: Registry[str, Inject] = Registry("injection")
+# A process that has had SIGTERM is killed after the users' grace.
+_GRACE_S = 6.0
+
+
+class Injector:
+    """Carries out a schedule; every fault runs as a task of its own.
+
+    Faults that overlap at one process wait for each other.
+
+    Args:
+        fleet: The processes.
+        schedule: The faults.
+    """
+
+    def __init__(self, fleet: SoakFleet, schedule: Schedule) -> None:
+        self._fleet = fleet
+        self._schedule = schedule
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    async def run(self) -> None:
+        """Injects all faults and returns when the last one has ended."""
+        started_at = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for fault in self._schedule.faults:
+                pause_s = started_at + fault.at - time.monotonic()
+                await asyncio.sleep(max(0.0, pause_s))
+                group.create_task(_INJECT[fault.kind](self, fault))
+
+    def _lock(self, name: str) -> asyncio.Lock:
+        return self._locks.setdefault(name, asyncio.Lock())
+
+    def _gateway(self, fault: Fault) -> Gateway:
+        gateways = self._fleet.gateways
+        return gateways[fault.target % len(gateways)]
+
+    def _server(self, fault: Fault) -> Server:
+        servers = self._fleet.servers
+        return servers[fault.target % len(servers)]
+
+    @_INJECT.register("gateway_kill")
+    async def _kill(self, fault: Fault) -> None:
+        gateway = self._gateway(fault)
+        async with self._lock(gateway.name):
+            disruption = self._fleet.disrupt(fault.kind, gateway.name)
+            gateway.kill()
+            await gateway.process.wait()
+            await asyncio.sleep(fault.for_s)
+            await self._fleet.start(gateway)
+            disruption.until = time.time()
+
+    @_INJECT.register("gateway_term")
+    async def _term(self, fault: Fault) -> None:
+        gateway = self._gateway(fault)
+        async with self._lock(gateway.name):
+            disruption = self._fleet.disrupt(fault.kind, gateway.name)
+            self._fleet.signal(gateway, signal.SIGTERM)
+            try:
+                async with asyncio.timeout(_GRACE_S):
+                    await gateway.process.wait()
+            except TimeoutError:
+                gateway.kill()
+                await gateway.process.wait()
+            await self._fleet.start(gateway)
+            disruption.until = time.time()
+
+    @_INJECT.register("gateway_pause")
+    async def _pause(self, fault: Fault) -> None:
+        gateway = self._gateway(fault)
+        async with self._lock(gateway.name):
+            disruption = self._fleet.disrupt(fault.kind, gateway.name)
+            self._fleet.signal(gateway, signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            self._fleet.signal(gateway, signal.SIGCONT)
+            disruption.until = time.time()
+
+    @_INJECT.register("gateway_reload")
+    async def _reload(self, fault: Fault) -> None:
+        self._fleet.signal(self._gateway(fault), signal.SIGHUP)
+
+    @_INJECT.register("store_link")
+    async def _store_link(self, fault: Fault) -> None:
+        gateway = self._gateway(fault)
+        link = self._fleet.store_links[self._fleet.gateways.index(gateway)]
+        async with self._lock(f"store link of {gateway.name}"):
+            disruption = self._fleet.disrupt(fault.kind, gateway.name)
+            link.set_link(Link[fault.how])
+            await asyncio.sleep(fault.for_s)
+            link.set_link(Link.SOUND)
+            disruption.until = time.time()
+
+    @_INJECT.register("store_down")
+    async def _store_down(self, fault: Fault) -> None:
+        async with self._lock("store"):
+            disruption = self._fleet.disrupt(fault.kind, "")
+            await self._fleet.store.control(down=fault.how)
+            await asyncio.sleep(fault.for_s)
+            await self._fleet.store.control(down="no")
+            disruption.until = time.time()
+
+    @_INJECT.register("store_lost_answers")
+    async def _store_lost_answers(self, fault: Fault) -> None:
+        disruption = self._fleet.disrupt(fault.kind, "")
+        await self._fleet.store.control(lose_answers=3)
+        disruption.until = time.time() + 1.0
+
+    @_INJECT.register("store_history_lost")
+    async def _store_history_lost(self, fault: Fault) -> None:
+        disruption = self._fleet.disrupt(fault.kind, "")
+        await self._fleet.store.control(compact=True)
+        disruption.until = time.time()
+
+    @_INJECT.register("server_kill")
+    async def _server_kill(self, fault: Fault) -> None:
+        server = self._server(fault)
+        async with self._lock(f"server {server.number}"):
+            disruption = self._fleet.disrupt(fault.kind, server.name)
+            await self._fleet.stop_server(server)
+            await asyncio.sleep(fault.for_s)
+            await self._fleet.start_server(server)
+            disruption.until = time.time()
+
+    @_INJECT.register("server_pause")
+    async def _server_pause(self, fault: Fault) -> None:
+        server = self._server(fault)
+        async with self._lock(f"server {server.number}"):
+            disruption = self._fleet.disrupt(fault.kind, server.name)
+            server.standin.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            server.standin.process.send_signal(signal.SIGCONT)
+            disruption.until = time.time()
+
+    @_INJECT.register("server_link")
+    async def _server_link(self, fault: Fault) -> None:
+        server = self._server(fault)
+        async with self._lock(f"link of server {server.number}"):
+            disruption = self._fleet.disrupt(fault.kind, server.name)
+            server.proxy.set_link(Link[fault.how])
+            await asyncio.sleep(fault.for_s)
+            server.proxy.set_link(Link.SOUND)
+            disruption.until = time.time()
+
+    @_INJECT.register("server_lost_answers")
+    async def _server_lost_answers(self, fault: Fault) -> None:
+        server = self._server(fault)
+        async with self._lock(f"server {server.number}"):
+            disruption = self._fleet.disrupt(fault.kind, server.name)
+            await server.standin.control(lose_answers=5)
+            disruption.until = time.time() + 1.0
+
+    @_INJECT.register("server_drain")
+    async def _server_drain(self, fault: Fault) -> None:
+        server = self._server(fault)
+        async with self._lock(f"server {server.number}"):
+            server.draining = True
+            await self._fleet.write_entry(server)
+            self._fleet.note("drain", server.name)
+            await asyncio.sleep(LEAVE_AFTER_S)
+            await self._fleet.stop_server(server)
+            # Its address may be used again after the users' delay.
+            await asyncio.sleep(2.0)
+            await self._fleet.start_server(server)
+
+    @_INJECT.register("configuration")
+    async def _configuration(self, fault: Fault) -> None:
+        await self._fleet.configure()
+
+    @_INJECT.register("key_withdrawn")
+    async def _key_withdrawn(self, fault: Fault) -> None:
+        if len(self._fleet.keys) > 1:
+            key = self._fleet.keys.pop()
+            await self._fleet.configure()
+            self._fleet.note("key_withdrawn", key)
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,126 @@
+"""A loopback TCP proxy that delays, resets, cuts or silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+from types import TracebackType
+
+_CHUNK_BYTES = 64 * 1024
+
+
+class Link(enum.Enum):
+    """What the proxy does with bytes."""
+
+    SOUND = "passes them on"
+    SLOW = "delays them"
+    SILENT = "drops them, both ways"
+    DEAF = "drops what the client sends"
+    MUTE = "drops what the server sends"
+    CLOSED = "resets connections, new ones too"
+
+
+_DROPS_FROM_CLIENT = frozenset({Link.SILENT, Link.DEAF})
+_DROPS_FROM_SERVER = frozenset({Link.SILENT, Link.MUTE})
+DELAY_S = 0.15
+
+
+class FaultProxy:
+    """Passes connections to one address; an async context manager.
+
+    Bytes that were dropped are gone: a connection that was silent for a
+    moment never recovers, as behind a firewall that forgot it.
+    """
+
+    def __init__(self) -> None:
+        self.target = ""
+        self.address = ""
+        self._link = Link.SOUND
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> FaultProxy:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_link(self, link: Link) -> None:
+        """Sets what happens to all connections from now on."""
+        self._link = link
+        if link is Link.CLOSED:
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._join(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+
+    async def _join(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._link is Link.CLOSED:
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(":")
+        upstream_reader, upstream = await asyncio.open_connection(
+            host, int(port)
+        )
+        self._writers.add(upstream)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._copy(reader, upstream, _DROPS_FROM_CLIENT)
+                )
+                group.create_task(
+                    self._copy(upstream_reader, writer, _DROPS_FROM_SERVER)
+                )
+        except* OSError:
+            writer.transport.abort()
+        finally:
+            self._writers.discard(upstream)
+            upstream.transport.abort()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        drops: frozenset[Link],
+    ) -> None:
+        is_broken = False
+        while data := await reader.read(_CHUNK_BYTES):
+            if self._link is Link.SLOW:
+                await asyncio.sleep(DELAY_S)
+            # Bytes after a gap would belong to nothing.
+            is_broken = is_broken or self._link in drops
+            if not is_broken:
+                writer.write(data)
+                await writer.drain()
+        if not is_broken:
+            with contextlib.suppress(OSError):
+                writer.write_eof()
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,109 @@
+"""What callers, backend servers and the operator saw."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """One request of a caller. Times are Unix seconds.
+
+    Attributes:
+        id: Request id.
+        gateway: Gateway that the caller sent it to.
+        customer: Customer whose key it had.
+        key: The key.
+        idempotent: Whether its route may be repeated.
+        path: Path on the wire.
+        sent_at: When it was sent.
+        ended_at: When its answer was complete, or the connection ended.
+        status: Status of the answer; 0: none came.
+        is_whole: Whether a success was signed, complete and its own.
+        is_timeout: Whether the caller gave up.
+    """
+
+    id: str
+    gateway: str
+    customer: str
+    key: str
+    idempotent: bool
+    path: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    is_whole: bool = False
+    is_timeout: bool = False
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """A request that a backend server began to run.
+
+    Attributes:
+        id: Request id.
+        server: The server.
+        at: Unix seconds.
+        tenant: Customer that the server was told.
+        key: Key that was passed on; must be empty.
+        target: Path on the wire.
+    """
+
+    id: str
+    server: str
+    at: float
+    tenant: str
+    key: str
+    target: str
+
+
+class Disruption(msgspec.Struct, kw_only=True):
+    """A fault while it lasts, and what it touched.
+
+    Attributes:
+        kind: Kind of the fault.
+        target: Gateway or server; empty: the store for all.
+        since: Unix seconds.
+        until: Unix seconds.
+    """
+
+    kind: str
+    target: str
+    since: float
+    until: float
+
+
+class Act(msgspec.Struct, kw_only=True):
+    """Something that the operator wrote, or a server said of itself.
+
+    Attributes:
+        kind: "configuration", "drain" or "key_withdrawn".
+        subject: Version, server or key.
+        at: Unix seconds of the store's acknowledgement.
+    """
+
+    kind: str
+    subject: str
+    at: float
+
+
+class History(msgspec.Struct, kw_only=True):
+    """All records of one run.
+
+    Attributes:
+        calls: Requests of callers.
+        runs: Requests that servers ran.
+        disruptions: Faults.
+        acts: What the operator and the servers wrote.
+        starts: Unix times at which each gateway was started.
+        faults_end: Unix seconds after which no fault was injected.
+        ended_at: Unix seconds of the end.
+        rates: Rate per second and burst of each customer.
+    """
+
+    calls: list[Call] = []
+    runs: list[Run] = []
+    disruptions: list[Disruption] = []
+    acts: list[Act] = []
+    starts: dict[str, list[float]] = {}
+    faults_end: float = 0.0
+    ended_at: float = 0.0
+    rates: dict[str, tuple[float, float]] = {}
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,7 +7,8 @@
 
 import argparse
 import asyncio
-from typing import Any
+import time
+from typing import Any, TextIO
 
 import msgspec
 from aiohttp import web
@@ -32,8 +33,9 @@
 class PlatformServerStandIn:
     """The HTTP handlers of the stand-in."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, record: TextIO | None = None) -> None:
         self._name = name
+        self._record = record
         self._behaviour = Behaviour()
         self._running = 0
         self._ran: list[dict[str, str]] = []
@@ -55,30 +57,38 @@
         self._running += 1
         try:
             body = await request.read()
-            self._ran.append(
-                {
-                    "id": headers.get("Request-Id", ""),
-                    "tenant": headers.get("Tenant", ""),
-                    "key": headers.get("Api-Key", ""),
-                    "deadline": headers.get("Deadline-Remaining", ""),
-                    "target": request.raw_path,
-                }
-            )
+            self._note(request)
             await asyncio.sleep(self._behaviour.work_ms / 1000)
         finally:
             self._running -= 1
         if self._behaviour.lose_answers > 0:
             self._behaviour.lose_answers -= 1
             abort(request)
+        request_id = headers.get("Request-Id", "")
         return web.Response(
-            body=self._name.encode() + b":" + body,
+            body=f"{self._name}:{request_id}:".encode() + body,
             headers={
-                "Request-Id": headers.get("Request-Id", ""),
+                "Request-Id": request_id,
                 "Server-Seal": f"seal-{self._name}",
                 "Server-Load": f"{self._running},0,{self._behaviour.slots}",
             },
         )
 
+    def _note(self, request: web.Request) -> None:
+        """Records that a request begins to run."""
+        headers = request.headers
+        ran = {
+            "id": headers.get("Request-Id", ""),
+            "tenant": headers.get("Tenant", ""),
+            "key": headers.get("Api-Key", ""),
+            "deadline": headers.get("Deadline-Remaining", ""),
+            "target": request.raw_path,
+        }
+        self._ran.append(ran)
+        if self._record is not None:
+            line = ran | {"server": self._name, "at": time.time()}
+            self._record.write(msgspec.json.encode(line).decode() + "\n")
+
     async def _show(self, request: web.Request) -> web.Response:
         return _json({"ran": self._ran})
 
@@ -100,8 +110,13 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--listen", action="append", required=True)
     parser.add_argument("--name", required=True)
+    parser.add_argument(
+        "--record",
+        type=argparse.FileType("a", bufsize=1),
+        help="File for a line about each request that begins to run.",
+    )
     options = parser.parse_args()
-    app = PlatformServerStandIn(options.name).build()
+    app = PlatformServerStandIn(options.name, options.record).build()
     asyncio.run(serve(app, options.listen))
 
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,153 @@
+"""The soak's checks find broken rules, and a short run of it breaks none."""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+import pytest
+
+from soak.checks import CHECKS, RECOVERY_S, violations
+from soak.faults import Fault, Schedule, draw
+from soak.records import Act, Call, Disruption, History, Run
+from soak.run import play
+from soak.shrink import shrink
+
+CASES = sorted((pathlib.Path(__file__).parent / "soak_cases").glob("*.json"))
+
+
+def call(name="1", **fields):
+    values = {
+        "id": name,
+        "gateway": "g0",
+        "customer": "open",
+        "key": "k",
+        "idempotent": False,
+        "path": "/p",
+        "sent_at": 10.0,
+        "ended_at": 10.1,
+        "status": 200,
+        "is_whole": True,
+    }
+    return Call(**(values | fields))
+
+
+def run(name="1", **fields):
+    values = {
+        "id": name,
+        "server": "s0",
+        "at": 10.05,
+        "tenant": "open",
+        "key": "",
+        "target": "/p",
+    }
+    return Run(**(values | fields))
+
+
+def term(**fields):
+    values = {"kind": "gateway_term", "target": "g0"}
+    return Disruption(**(values | {"since": 9.5, "until": 12.0} | fields))
+
+
+BROKEN = {
+    "TWICE": History(calls=[call()], runs=[run(), run(server="s1")]),
+    "REFUSED": History(calls=[call(status=503)], runs=[run()]),
+    "MIXED": History(calls=[call(is_whole=False)], runs=[run()]),
+    "UNASKED": History(calls=[call()], runs=[run(tenant="other")]),
+    "QUOTA": History(
+        calls=[call(str(n), sent_at=10.0 + n / 50) for n in range(200)],
+        runs=[run(str(n), at=10.0 + n / 50) for n in range(200)],
+        rates={"open": (10.0, 10.0)},
+    ),
+    "DRAIN": History(
+        calls=[call(sent_at=9.0)],
+        runs=[run(at=9.0)],
+        acts=[Act(kind="drain", subject="s0", at=5.0)],
+    ),
+    "KEYS": History(
+        calls=[call()],
+        runs=[run()],
+        acts=[Act(kind="key_withdrawn", subject="k", at=4.0)],
+    ),
+    "CONFIG": History(
+        calls=[
+            call("1", path="/v2/", sent_at=5.0, ended_at=5.1),
+            call("2", path="/v2/", sent_at=6.0, status=404),
+        ],
+        runs=[run("1", target="/v2/")],
+        acts=[Act(kind="configuration", subject="2", at=4.5)],
+    ),
+    "LOST": History(
+        calls=[call(status=0, is_whole=False, ended_at=10.5)],
+        runs=[run()],
+        disruptions=[term()],
+    ),
+    "RECOVER": History(
+        calls=[call(sent_at=20.0, status=503)], faults_end=20.0 - RECOVERY_S
+    ),
+}
+
+
+@pytest.mark.parametrize("rule", list(CHECKS))
+def test_each_check_finds_its_broken_rule(rule):
+    assert [one.rule for one in violations(BROKEN[rule])] == [rule]
+
+
+def test_answers_and_runs_of_sound_requests_break_nothing():
+    history = History(
+        calls=[call("1"), call("2", status=429), call("3", status=502)],
+        runs=[run("1"), run("3")],
+        rates={"open": (10.0, 10.0)},
+    )
+    assert violations(history) == []
+
+
+def test_machines_that_are_not_in_touch_are_excused_from_bounds_in_time():
+    history = BROKEN["DRAIN"]
+    cut = Disruption(kind="store_link", target="g0", since=4.0, until=6.0)
+    excused = msgspec.structs.replace(history, disruptions=[cut])
+    assert violations(excused) == []
+    elsewhere = msgspec.structs.replace(cut, target="g1")
+    still = msgspec.structs.replace(history, disruptions=[elsewhere])
+    assert [one.rule for one in violations(still)] == ["DRAIN"]
+
+
+def test_schedules_repeat_with_their_seed():
+    assert draw(5, 20.0) == draw(5, 20.0)
+    assert draw(5, 20.0) != draw(6, 20.0)
+
+
+async def test_schedule_is_cut_down_to_the_faults_that_matter():
+    needed = {"store_down", "gateway_kill"}
+    kinds = ["server_kill", "store_down", "configuration", "gateway_kill"] * 4
+    faults = tuple(
+        Fault(kind=kind, at=float(n)) for n, kind in enumerate(kinds)
+    )
+    schedule = Schedule(
+        seed=1,
+        load_s=1.0,
+        gateways=1,
+        servers=1,
+        full_mesh_max=2,
+        faults=faults,
+    )
+
+    async def fails(tried):
+        return needed <= {fault.kind for fault in tried.faults}
+
+    small = await shrink(schedule, fails)
+    assert sorted(fault.kind for fault in small.faults) == sorted(needed)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_short_soak_breaks_no_rule(seed, tmp_path):
+    outcome = await play(draw(seed, 8.0), tmp_path, recovery_s=2.0)
+    assert outcome.violations == []
+    assert outcome.served > 0
+
+
+@pytest.mark.parametrize("path", CASES, ids=lambda path: path.stem)
+async def test_seeds_that_failed_once_break_no_rule(path, tmp_path):
+    schedule = msgspec.json.decode(path.read_bytes(), type=Schedule)
+    outcome = await play(schedule, tmp_path, recovery_s=2.0)
+    assert outcome.violations == []
