Test what instances learn over hubs without a network

Outcomes of versions that come over two hubs count once at members, hubs and in a small fleet, and after a hub was replaced; a fault, a leaving and a dead member become known; the fractions of regions' demands sum to one at most.

--- /dev/null
+++ b/tests/gateway/test_digest.py
@@ -0,0 +1,222 @@
+"""What instances tell each other over hubs, without a network."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from radishmux.clock import ManualClock
+from radishmux.config.routing import CustomerTerms
+from radishmux.gateway.digest import Audience, Digest
+from radishmux.membership.hubs import exchange_plan
+from radishmux.membership.peers import Peers
+from radishmux.membership.record import InstanceRecord
+from radishmux.peer import messages
+from radishmux.share.fleet_rate import FleetRates
+from radishmux.shift.orders import RolloutOrder
+from radishmux.shift.rollout import Rollout
+
+PERIOD_S = 0.5
+MAX_AGE_S = 2.0
+
+
+class NoMirror:
+    """A mirror of which nobody asks anything."""
+
+    revision = -1
+
+
+class Rollouts:
+    """One order."""
+
+    def __init__(self, instance):
+        order = RolloutOrder("s", "v2", 30.0)
+        self.active = {"s": Rollout(order, 0.1, 0.0, instance)}
+
+
+class Node:
+    """One instance's part of the exchange."""
+
+    def __init__(self, record, records, clock):
+        self.record = record
+        self.clock = clock
+        self.peers = Peers(record)
+        self.peers.set_records(records, clock.now())
+        self.rates = FleetRates(0.1, 20.0)
+        self.rates.set_customers(
+            [CustomerTerms(name="c", keys=("k",), rate_per_s=60, burst=60)],
+            clock.now(),
+        )
+        self.rollouts = Rollouts(record.instance)
+        self.is_leaving = False
+        self.digest = Digest(
+            record,
+            self.peers,
+            self.rates,
+            self.rollouts,
+            NoMirror(),
+            lambda: self.is_leaving,
+            clock,
+        )
+
+    @property
+    def evidence(self):
+        return self.rollouts.active["s"].evidence
+
+    def plan(self):
+        now = self.clock.now()
+        plan = exchange_plan(
+            self.record,
+            self.peers.records.values(),
+            lambda name: self.peers.is_usable(name, now),
+        )
+        silent_s = plan.silent_periods * PERIOD_S
+        self.peers.set_followed(plan.followed, silent_s, now)
+        return plan
+
+
+class Fleet:
+    """Instances that exchange reports in rounds."""
+
+    def __init__(self, size=30, regions="abc"):
+        self.clock = ManualClock()
+        records = [
+            InstanceRecord(
+                instance=f"i{n:02}",
+                incarnation=1,
+                region=region,
+                failure_domain=f"{region}-1",
+                caller_address=f"{n}:1",
+                peer_address=f"{n}:2",
+            )
+            for n, region in zip(
+                range(size), itertools.cycle(regions), strict=False
+            )
+        ]
+        self.nodes = {
+            one.instance: Node(one, records, self.clock) for one in records
+        }
+        self.dead = set()
+
+    def rounds(self, count):
+        for _ in range(count):
+            self.clock.advance(PERIOD_S)
+            for node in self.living():
+                plan = node.plan()
+                regions = {"a", "b", "c"} - {node.record.region}
+                node.digest.measure(regions, MAX_AGE_S, self.clock.now())
+                for name in plan.ask:
+                    if name not in self.dead:
+                        self.exchange(node, self.nodes[name])
+
+    def living(self):
+        return [
+            node for name, node in self.nodes.items() if name not in self.dead
+        ]
+
+    def exchange(self, asker, asked):
+        same = asker.record.region == asked.record.region
+        audience = Audience.HUB if same else Audience.REGION
+        question = _over_the_wire(asker.digest.write(audience, MAX_AGE_S))
+        asked.digest.read(question, 1.0)
+        back = Audience.REGION
+        if same:
+            is_hub = asker.record.instance in asked.plan().hubs
+            back = Audience.HUB if is_hub else Audience.MEMBER
+        answer = asked.digest.write(back, MAX_AGE_S, asked=question)
+        asker.digest.read(_over_the_wire(answer), 1.0)
+
+
+def _over_the_wire(report):
+    envelope = messages.Envelope(body=messages.wrap(report))
+    return messages.unwrap(messages.decode(messages.encode(envelope)).body)
+
+
+@pytest.mark.parametrize("size", [10, 30])
+def test_outcomes_of_all_instances_count_once_everywhere(size):
+    """They come over two hubs, and to hubs from members and other hubs."""
+    fleet = Fleet(size)
+    for node in fleet.nodes.values():
+        node.evidence.note("v2", "r", failed=True, slow=False)
+        node.evidence.note("v1", "r", failed=False, slow=False)
+    fleet.rounds(6)
+    for name, node in fleet.nodes.items():
+        assert node.evidence.requests("v2") == size, name
+        assert node.evidence.requests("v1") == size, name
+
+
+def test_outcomes_count_once_after_a_hub_was_replaced():
+    fleet = Fleet(30)
+    for node in fleet.nodes.values():
+        node.evidence.note("v2", "r", failed=False, slow=False)
+    fleet.rounds(4)
+    hub = next(name for name, node in fleet.nodes.items() if node.plan().is_hub)
+    fleet.dead.add(hub)
+    fleet.rounds(10)
+    for node in fleet.living():
+        assert node.evidence.requests("v2") <= 30
+
+
+def test_fault_found_by_one_instance_is_known_everywhere():
+    fleet = Fleet(30)
+    fleet.rounds(2)
+    finder = fleet.nodes["i29"]
+    finder.rollouts.active["s"].take_fault("it fails")
+    fleet.rounds(4)
+    for node in fleet.nodes.values():
+        assert node.rollouts.active["s"].fault == "it fails"
+
+
+def test_dead_member_is_named_to_nobody_of_its_region():
+    """The users allow ContactS and 3 s more."""
+    fleet = Fleet(30)
+    fleet.rounds(4)
+    dead = next(
+        name for name, node in fleet.nodes.items() if not node.plan().is_hub
+    )
+    region = fleet.nodes[dead].record.region
+    fleet.dead.add(dead)
+    fleet.rounds(round(4.0 / PERIOD_S))
+    now = fleet.clock.now()
+    for node in fleet.living():
+        if node.record.region == region:
+            assert dead not in {one.instance for one in node.peers.usable(now)}
+
+
+def test_leaving_member_is_named_to_nobody_of_its_region():
+    fleet = Fleet(30)
+    fleet.rounds(3)
+    leaving = fleet.nodes["i15"]
+    leaving.is_leaving = True
+    fleet.rounds(2)
+    now = fleet.clock.now()
+    for node in fleet.nodes.values():
+        if node.record.region == leaving.record.region and node is not leaving:
+            assert not node.peers.is_usable("i15", now)
+
+
+def test_demand_of_each_region_reaches_the_holders_of_the_others():
+    fleet = Fleet(30)
+    # One instance of each region holds the tokens.
+    holders = {
+        region: next(
+            node
+            for node in fleet.nodes.values()
+            if node.record.region == region and not node.plan().is_hub
+        )
+        for region in "abc"
+    }
+    for node in fleet.nodes.values():
+        node.rates.set_fleet({"a", "b", "c"} - {node.record.region}, 30, 3, 0.0)
+    for region, node in holders.items():
+        node.rates.set_held(frozenset({"c"}))
+        assert node.record.region == region
+    for _ in range(12):
+        for _ in range(20):
+            holders["a"].rates.take("c", 1, 1, fleet.clock.now())
+        holders["b"].rates.take("c", 1, 1, fleet.clock.now())
+        fleet.rounds(1)
+    fractions = {r: one.rates.fraction("c") for r, one in holders.items()}
+    assert sum(fractions.values()) <= 1.0 + 1e-6
+    assert fractions["a"] > 0.5 > fractions["b"] > 0.0
