Count growth of demand a report later over hubs; give tokens ahead from full buckets

A hot customer's demand grows in all regions at once; each region counted its own growth after 1.5 s, but news of the others take up to 2 s over two hubs and the holder's own next report, so that the parts summed to more than one. Besides, tokens that were fetched ahead came on top of the burst. Change: own growth counts after four reports; news of other regions count when they come, not at the next report; tokens ahead of demand are given only from a bucket that is more than half full.

--- a/src/radishmux/gateway/digest.py
+++ b/src/radishmux/gateway/digest.py
@@ -67,6 +67,8 @@
         self._clock = clock
         self._demands = RegionDemands()
         self._held: frozenset[str] = frozenset()
+        self._regions: set[str] = set()
+        self._max_age_s = 0.0
 
     @property
     def is_leaving(self) -> bool:
@@ -87,9 +89,9 @@
             self._demands.take(
                 RegionDemand(self._own.region, customer, rate_per_s, now)
             )
-        for region in regions:
-            report = self._demands.report(region, max_age_s, now)
-            self._rates.take_report(region, report, now)
+        self._regions = regions
+        self._max_age_s = max_age_s
+        self._divide(now)
 
     def write(
         self,
@@ -161,11 +163,19 @@
                     one.region, one.customer, one.rate_per_s, measured_at
                 )
             )
+        if report.demands:
+            self._divide(now)
         self._read_rollouts(report, now)
         if report.feed is not None:
             self._mirror.take_feed(_decode_feed(report.feed), now, pace)
         return True
 
+    def _divide(self, now: float) -> None:
+        """Divides the rates by what is known of the other regions."""
+        for region in self._regions:
+            report = self._demands.report(region, self._max_age_s, now)
+            self._rates.take_report(region, report, now)
+
     def _told_demands(
         self, audience: Audience, max_age_s: float, asked: Any, now: float
     ) -> list[RegionDemand]:
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -32,10 +32,11 @@
 # Demands count for this many periods: what a hub passes on is up to two
 # periods old, and one report may be lost.
 _DEMAND_PERIODS = 4.0
-# Reports after which other regions know of growth: one in a full mesh; on the
-# way from a holder over two hubs to another holder three.
+# Reports after which other regions know of growth: one in a full mesh; three on
+# the way from a holder over two hubs to another holder, of which one may be
+# lost.
 _MESH_LAG = 1
-_RELAYED_LAG = 3
+RELAYED_LAG = 4
 
 
 class FleetReports:
@@ -168,7 +169,7 @@
             members.discard(own.instance)
         self._holders.set_members(frozenset(members))
         regions = {one.region for one in records.values()} - {own.region}
-        lag = _MESH_LAG if self._plan.is_mesh else _RELAYED_LAG
+        lag = _MESH_LAG if self._plan.is_mesh else RELAYED_LAG
         self._rates.set_fleet(regions, len(records) + 1, lag, now)
         self._rates.set_isolated(self._peers.is_isolated(now), now)
         self._rates.set_held(self._holders.held(self._rates.customers))
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -33,6 +33,9 @@
 # A holder that nobody takes to be one any more goes on for this long after the
 # latest question, since instances learn of changes one after the other.
 HOLD_S = 2.0
+# Part of a bucket that is not given out ahead of demand: tokens that wait at
+# other instances come on top of the burst.
+AHEAD_RESERVE = 0.5
 # Longest pause that a refusal names.
 MAX_WAIT_S = 1.0
 # Tokens that sums of fractions may lack.
@@ -133,7 +136,8 @@
         Args:
             customer: Name of the customer.
             arrived: Requests that have not asked before.
-            wanted: Tokens that are wanted.
+            wanted: Tokens that are wanted; those beyond `arrived` are ahead
+                of demand, and given from a bucket with room only.
             now: Monotonic seconds.
 
         Returns:
@@ -145,6 +149,9 @@
         self._hold(share, now)
         share.demand.note(now, arrived)
         share.bucket.advance(now)
+        spare = share.bucket.tokens - AHEAD_RESERVE * share.bucket.capacity
+        needed = max(1, arrived)
+        wanted = min(wanted, needed + max(0, math.floor(spare)))
         taken = min(wanted, math.floor(share.bucket.tokens + _ROUNDING))
         return round(share.bucket.withdraw(float(taken), now))
 
