Take the average load of a server when its last report is old

Cause: an instance of a large fleet hears of a server less often than every 1.5 s, after which the server counted as idle. Change: the load that a server reported on the average counts in place of the faded report, with a half-life of 6 s. Test: test_server_that_is_busy_all_the_time_counts_as_busy_between_reports, which fails without.

--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -6,8 +6,12 @@
 from collections import OrderedDict
 
 # Time after which a load that a server reported says nothing any more; about
-# two requests' duration.
+# two requests' duration. From then on what it reports on the average counts.
 REPORT_VALID_S = 1.5
+# Time in which that average follows its reports, and half-life with which it
+# is forgotten without any.
+MEAN_LOAD_S = 2.0
+MEAN_LOAD_HALF_LIFE_S = 6.0
 # Half-lives of bad experience: a server is tried again after a few of them.
 SLOWNESS_HALF_LIFE_S = 4.0
 FAILURE_HALF_LIFE_S = 3.0
@@ -53,6 +57,7 @@
         "_failure",
         "_failure_at",
         "_failures_in_row",
+        "_mean_others",
         "_objects",
         "_others",
         "_others_at",
@@ -68,6 +73,7 @@
         self.paused_until = -math.inf
         self.last_sent_at = -math.inf
         self._others = 0.0
+        self._mean_others = 0.0
         self._others_at = -math.inf
         self._slowness = 1.0
         self._slowness_at = 0.0
@@ -78,10 +84,13 @@
 
     def load(self, now: float) -> float:
         """Returns the estimated requests at the server, ours included."""
-        age = now - self._others_at
-        if age >= REPORT_VALID_S:
-            return float(self.in_flight)
-        return self.in_flight + self._others * (1.0 - age / REPORT_VALID_S)
+        age_s = now - self._others_at
+        mean = self._mean_others * 0.5 ** (age_s / MEAN_LOAD_HALF_LIFE_S)
+        if age_s >= REPORT_VALID_S:
+            return self.in_flight + mean
+        weight = age_s / REPORT_VALID_S
+        others = (1.0 - weight) * self._others + weight * mean
+        return self.in_flight + others
 
     def slowness(self, now: float) -> float:
         """Returns how many times longer than usual it works, from 1."""
@@ -110,6 +119,10 @@
         """Takes the load that came with a response, after `ended`."""
         total = report.running + report.waiting
         self._others = max(0.0, float(total - self.in_flight))
+        # Reports that come close together say the same.
+        age_s = min(1e3, now - self._others_at)
+        weight = 1.0 - math.exp(-age_s / MEAN_LOAD_S)
+        self._mean_others += weight * (self._others - self._mean_others)
         self._others_at = now
 
     def served(self, ratio: float, key: int | None, now: float) -> None:
--- /dev/null
+++ b/tests/steer/test_server_state.py
@@ -0,0 +1,49 @@
+"""What an instance believes of a server that it seldom sends to."""
+
+from __future__ import annotations
+
+from radishmux.steer.server_state import (
+    MEAN_LOAD_HALF_LIFE_S,
+    REPORT_VALID_S,
+    LoadReport,
+    ServerState,
+)
+
+
+def busy_for(seconds, running=4, waiting=3, every_s=0.5):
+    state = ServerState()
+    now = 100.0
+    while now < 100.0 + seconds:
+        state.reported(LoadReport(running, waiting, 4), now)
+        now += every_s
+    return state, now
+
+
+def test_server_that_is_busy_all_the_time_counts_as_busy_between_reports():
+    """The load of a large fleet: an instance hears of a server seldom.
+
+    Its last report is older than the requests that it told of.
+    """
+    state, now = busy_for(6.0)
+    assert state.load(now + REPORT_VALID_S) >= 4.0
+
+
+def test_single_report_of_a_queue_is_forgotten():
+    state = ServerState()
+    state.reported(LoadReport(0, 0, 4), 100.0)
+    state.reported(LoadReport(4, 3, 4), 100.1)
+    assert state.load(100.1) == 7.0
+    assert state.load(100.1 + REPORT_VALID_S) < 1.0
+
+
+def test_average_is_forgotten_without_reports():
+    """So that a server which nobody dares to use is tried again."""
+    state, now = busy_for(6.0)
+    assert state.load(now + 4 * MEAN_LOAD_HALF_LIFE_S) < 1.0
+
+
+def test_server_that_became_idle_counts_as_idle():
+    state, now = busy_for(6.0)
+    for n in range(12):
+        state.reported(LoadReport(0, 0, 4), now + 0.5 * n)
+    assert state.load(now + 6.0 + REPORT_VALID_S) < 1.0
