--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -138,7 +138,7 @@
         paths = [("/safe/1", True), ("/unsafe/1", False)]
         paths += [("/unsafe/2", False), (f"/v{self.version}/", True)]
         keys = [("open", f"open-{n}") for n in range(KEYS_OF_OPEN)]
-        keys += [("limited", "limited-0")] * (KEYS_OF_OPEN // 2)
+        keys += [("limited", "limited-0")] * KEYS_OF_OPEN
         return [
             Target(path, customer, key, idempotent)
             for path, idempotent in paths
