Drop servers that a hub's late return would have kept

An instance that comes back keeps missing entries for 2.3 s, since they may have lapsed in an outage; each hub that came back later began this time anew. Change: a missing entry counts as gone at the end of the doubt that it fell into; only an own return of the store gives it new time, and nothing expires while the store cannot be read. Tests: test_return_of_a_hub_gives_missing_entries_no_more_time, which fails without, test_entry_that_is_missing_at_a_second_return_may_come_back_again.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -315,7 +315,8 @@
 
     async def _housekeeping(self) -> None:
         now = self._clock.now()
-        self._state.servers.expire(now)
+        if not self._mirror.is_out(now):
+            self._state.servers.expire(now)
         self._on_members(now)
         self._sender.prune()
 
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -136,9 +136,9 @@
         self._take(event, now)
         return not is_renewal
 
-    def on_returned(self, now: float) -> None:
+    def on_returned(self, now: float, is_own: bool) -> None:
         """Takes the news that the store answers again."""
-        self._servers.list_returned(now)
+        self._servers.list_returned(now, is_own)
 
     def _take(self, event: Event, now: float) -> None:
         _takers[type(event)](self, event, now)
--- a/src/radishmux/steer/servers.py
+++ b/src/radishmux/steer/servers.py
@@ -53,17 +53,18 @@
         region: Region of its failure domain; empty when unknown.
         cold_until: Monotonic time until which it is cold.
         since: Monotonic time when this start of it was first seen.
-        vanished_at: When its entry went missing in doubt, or None.
+        doubted_until: Its entry is missing, and it counts as gone from then
+            on; None: the entry is there.
     """
 
-    __slots__ = ("cold_until", "entry", "region", "since", "vanished_at")
+    __slots__ = ("cold_until", "doubted_until", "entry", "region", "since")
 
     def __init__(self, entry: ServerEntry, region: str, now: float) -> None:
         self.entry = entry
         self.region = region
         self.cold_until = now + entry.cold_remaining_s
         self.since = now
-        self.vanished_at: float | None = None
+        self.doubted_until: float | None = None
 
     @property
     def name(self) -> str:
@@ -126,7 +127,7 @@
             return True
         if _is_older(entry, server.entry):
             return False
-        server.vanished_at = None
+        server.doubted_until = None
         if entry.started_ms != server.entry.started_ms:
             region = self._regions.get(entry.failure_domain, "")
             self._servers[entry.name] = Server(entry, region, now)
@@ -152,8 +153,8 @@
         if server is None:
             return
         if now < self._doubt_until and not server.entry.draining:
-            if server.vanished_at is None:
-                server.vanished_at = now
+            if server.doubted_until is None:
+                server.doubted_until = self._doubt_until
             return
         del self._servers[name]
         self._by_service.clear()
@@ -167,22 +168,33 @@
         for name in self._servers.keys() - names:
             self.remove(name, now)
 
-    def list_returned(self, now: float) -> None:
-        """Takes the news that the list can be read again after an outage."""
-        self._doubt_until = now + RETURN_GRACE_S
+    def list_returned(self, now: float, is_own: bool = True) -> None:
+        """Takes the news that the list can be read again after an outage.
+
+        Args:
+            now: Monotonic seconds of the return.
+            is_own: Whether this instance could not read it. Entries that it
+                misses already have their time anew then; the return of a hub,
+                which may have been cut off alone, gives them no more.
+        """
+        self._doubt_until = max(self._doubt_until, now + RETURN_GRACE_S)
+        if is_own:
+            for server in self._servers.values():
+                if server.doubted_until is not None:
+                    server.doubted_until = self._doubt_until
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Drops servers whose missing entry did not return in time.
 
+        Not to be called while the list cannot be read.
+
         Returns:
             The names of the dropped ones.
         """
-        if now < self._doubt_until:
-            return ()
         gone = tuple(
             name
             for name, server in self._servers.items()
-            if server.vanished_at is not None
+            if server.doubted_until is not None and now >= server.doubted_until
         )
         for name in gone:
             del self._servers[name]
--- a/src/radishmux/store/mirror.py
+++ b/src/radishmux/store/mirror.py
@@ -61,8 +61,13 @@
     def on_change(self, change: KeyChange, now: float) -> bool:
         """Takes one change; tells whether it says more than a renewal."""
 
-    def on_returned(self, now: float) -> None:
-        """Takes the news that the store answers again after an outage."""
+    def on_returned(self, now: float, is_own: bool) -> None:
+        """Takes the news that the store answers again after an outage.
+
+        Args:
+            now: Monotonic seconds of the return.
+            is_own: False: it was a hub that could not reach the store.
+        """
 
 
 class StoreMirror(Background):
@@ -106,6 +111,10 @@
         """Everything up to this revision was handed over."""
         return self._revision
 
+    def is_out(self, now: float) -> bool:
+        """Whether the store could not be reached when it was last asked."""
+        return self._is_out and not self.is_fed(now)
+
     def contact_age_s(self, now: float) -> float:
         """Returns the age of the latest answer of the store."""
         return now - self._contact_at
@@ -171,7 +180,7 @@
         # Each feed dates the same return a little later.
         if known is None or returned_at > known + _RETURN_TOLERANCE_S:
             self._returned_at = returned_at
-            self._listener.on_returned(returned_at)
+            self._listener.on_returned(returned_at, is_own=False)
 
     async def _run(self) -> None:
         while True:
@@ -246,7 +255,7 @@
             self._is_out = False
             self._returned_at = now
             state_change("store", "reachable")
-            self._listener.on_returned(now)
+            self._listener.on_returned(now, is_own=True)
 
     def _on_failure(self, answer: Unavailable) -> float:
         if not self._is_out:
--- a/tests/steer/test_servers.py
+++ b/tests/steer/test_servers.py
@@ -72,3 +72,33 @@
     table.put(entry("a"), 0.0)
     table.replace([entry("b")], 1.0)
     assert names(table) == {"b"}
+
+
+def test_return_of_a_hub_gives_missing_entries_no_more_time():
+    """Hubs that were cut off come back one after the other.
+
+    Grown mistpole-gh scale-2: a server that had drained was used 4.1 s after
+    the cut had ended, since each hub's return began the doubt anew.
+    """
+    table = ServerTable(REGIONS)
+    for name in ("a", "b"):
+        table.put(entry(name), 0.0)
+    table.list_returned(10.0)
+    table.replace([entry("a")], 10.1)
+    for returned_at in (10.7, 11.4, 12.1):
+        table.list_returned(returned_at, is_own=False)
+    assert table.expire(10.0 + RETURN_GRACE_S + 0.1) == ("b",)
+
+
+def test_entry_that_is_missing_at_a_second_return_may_come_back_again():
+    table = ServerTable(REGIONS)
+    for name in ("a", "b"):
+        table.put(entry(name), 0.0)
+    table.list_returned(10.0)
+    table.replace([entry("a")], 10.1)
+    # The list is away until 20, and nobody asks for what has expired.
+    table.list_returned(20.0)
+    assert table.expire(20.0 + RETURN_GRACE_S - 0.1) == ()
+    table.put(entry("b"), 21.0)
+    assert table.expire(30.0) == ()
+    assert names(table) == {"a", "b"}
