Complete a good version in spite of routes that are hardly used

A trial with the counts logged shows phase RAMP to the end and 10 requests of the new version missing on seven routes that had 1 to 49 of 4,200 requests; a version was judged good only when it had 10 on every route that any request had used. Change: routes with less than 2% of the service's requests hold nothing back. A version that is bad on such a route alone gets less than 2% of the requests with a fault, where 10% and 50 are allowed, and is stopped by its failures.

--- a/src/radishmux/shift/evidence.py
+++ b/src/radishmux/shift/evidence.py
@@ -112,9 +112,12 @@
         """Returns the requests of a version that were judged."""
         return _sum(self.pooled(), version, route, same=True).requests
 
-    def routes(self) -> set[str]:
-        """Returns the routes on which any version was seen."""
-        return {route for _, route in self.pooled()}
+    def requests_by_route(self) -> dict[str, int]:
+        """Returns the requests of all versions on each route."""
+        counts: dict[str, int] = {}
+        for (_, route), tally in self.pooled().items():
+            counts[route] = counts.get(route, 0) + tally.requests
+        return counts
 
 
 def _sum(pool: Tallies, version: str, route: str | None, same: bool) -> Tally:
--- a/src/radishmux/shift/rollout.py
+++ b/src/radishmux/shift/rollout.py
@@ -31,6 +31,9 @@
 # not judged good.
 MIN_REQUESTS = 30
 MIN_ROUTE_REQUESTS = 10
+# Part of a service's requests below which a route holds nothing back: all of
+# them together stay far below the operators' bound on a bad version.
+MIN_ROUTE_SHARE = 0.02
 # Part of a rare route's requests that the new version gets until it has been
 # judged there.
 RARE_ROUTE_PART = 3.0
@@ -226,7 +229,12 @@
 
     def _is_judged(self) -> bool:
         version = self._order.version
-        return self._evidence.requests(version) >= MIN_REQUESTS and all(
+        if self._evidence.requests(version) < MIN_REQUESTS:
+            return False
+        counts = self._evidence.requests_by_route()
+        least = MIN_ROUTE_SHARE * sum(counts.values())
+        return all(
             self._evidence.requests(version, route) >= MIN_ROUTE_REQUESTS
-            for route in self._evidence.routes()
+            for route, count in counts.items()
+            if count >= least
         )
--- a/tests/shift/test_rollout.py
+++ b/tests/shift/test_rollout.py
@@ -105,6 +105,14 @@
     assert trial.state is RolloutState.COMPLETED
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_routes_that_are_hardly_used_do_not_hold_a_good_version_back(seed):
+    """Recorded day inc-46a6: seven such routes had a few requests each."""
+    routes = ("r",) * 1000 + tuple(f"idle{n}" for n in range(7))
+    trial = Trial(good, seed=seed, routes=routes).run()
+    assert trial.state is RolloutState.COMPLETED
+
+
 @pytest.mark.parametrize("fails", [errors, slow, one_route, late])
 @pytest.mark.parametrize("seed", range(5))
 def test_bad_version_is_taken_back_within_the_bound(fails, seed):
