Log who holds a customer's tokens, and by which demands the rate is divided

Cause: the logs of the QUOTA incident could not tell its hypotheses apart: an admitted request does not say which instance gave its token out, and nothing tells who takes itself for a holder and which part of the rate it divides. No decision is changed. Tests of this module, tests/telemetry, tests/share, tests/gateway and tests/test_docs.py pass.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -25,6 +25,7 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
+from radishmux.gateway.token_log import TokenLog
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.pipelined import PipelinedServer
 from radishmux.http.response import Response
@@ -193,6 +194,7 @@
                 self._rates,
                 holders,
                 digest,
+                TokenLog(self._metrics),
                 self._clock,
                 settings.full_mesh_max,
             )
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -8,6 +8,7 @@
 
 from radishmux.clock import Clock
 from radishmux.gateway.digest import Audience, Digest
+from radishmux.gateway.token_log import TokenLog
 from radishmux.membership.hubs import (
     FULL_MESH_MAX,
     ExchangePlan,
@@ -49,6 +50,7 @@
         rates: Is told who takes part.
         holders: Is told who may hold tokens.
         digest: Writes and reads the reports.
+        token_log: Is told what is held here.
         clock: Monotonic time.
         full_mesh_max: Up to this many instances, each is a hub.
     """
@@ -61,6 +63,7 @@
         rates: FleetRates,
         holders: TokenHolders,
         digest: Digest,
+        token_log: TokenLog,
         clock: Clock,
         full_mesh_max: int = FULL_MESH_MAX,
     ) -> None:
@@ -70,6 +73,7 @@
         self._rates = rates
         self._holders = holders
         self._digest = digest
+        self._token_log = token_log
         self._clock = clock
         self._full_mesh_max = full_mesh_max
         self._plan = exchange_plan(own, (), lambda name: False)
@@ -175,6 +179,7 @@
         self._rates.set_isolated(self._peers.is_isolated(now), now)
         self._rates.set_held(self._holders.held(self._rates.customers))
         self._digest.measure(regions, self._demand_age_s, now)
+        self._token_log.write(self._rates.holdings(now))
 
     def _start_exchange(self, name: str) -> None:
         if name in self._pending:
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -53,6 +53,53 @@
     demands: dict[str, float]
 
 
+class Holding:
+    """What an instance holds of one customer's rate.
+
+    Attributes:
+        customer: Name of the customer.
+        is_holder: Whether it is the holder by its own view; False: it goes on
+            because it was asked.
+        fraction: Part of the customer's rate.
+        tokens: Tokens in the bucket.
+        demand_per_s: Requests per second that asked for tokens here.
+        other_demands_per_s: The same in other regions; None: not heard.
+        granted: Tokens that were given out since the process started.
+        refused: Requests that got none since then.
+    """
+
+    __slots__ = (
+        "customer",
+        "demand_per_s",
+        "fraction",
+        "granted",
+        "is_holder",
+        "other_demands_per_s",
+        "refused",
+        "tokens",
+    )
+
+    def __init__(
+        self,
+        customer: str,
+        is_holder: bool,
+        fraction: float,
+        tokens: float,
+        demand_per_s: float,
+        other_demands_per_s: dict[str, float | None],
+        granted: int,
+        refused: int,
+    ) -> None:
+        self.customer = customer
+        self.is_holder = is_holder
+        self.fraction = fraction
+        self.tokens = tokens
+        self.demand_per_s = demand_per_s
+        self.other_demands_per_s = other_demands_per_s
+        self.granted = granted
+        self.refused = refused
+
+
 class _Share:
     """A customer's bucket at this instance.
 
@@ -60,12 +107,22 @@
         terms: The customer.
         bucket: Tokens of the region's part.
         demand: Requests that asked for tokens.
+        granted: Tokens that were given out.
+        refused: Requests that got none.
         is_started: Whether the bucket got its first tokens.
         held_until: Monotonic time until which this instance is a holder;
             -inf: it is none, and the bucket is empty.
     """
 
-    __slots__ = ("bucket", "demand", "held_until", "is_started", "terms")
+    __slots__ = (
+        "bucket",
+        "demand",
+        "granted",
+        "held_until",
+        "is_started",
+        "refused",
+        "terms",
+    )
 
     def __init__(
         self,
@@ -77,6 +134,8 @@
         self.terms = terms
         self.bucket = FractionBucket(rate_per_s, terms.burst, now, least_tokens)
         self.demand = DemandMeter(now)
+        self.granted = 0
+        self.refused = 0
         self.is_started = False
         self.held_until = -math.inf
 
@@ -153,7 +212,10 @@
         needed = max(1, arrived)
         wanted = min(wanted, needed + max(0, math.floor(spare)))
         taken = min(wanted, math.floor(share.bucket.tokens + _ROUNDING))
-        return round(share.bucket.withdraw(float(taken), now))
+        taken = round(share.bucket.withdraw(float(taken), now))
+        share.granted += taken
+        share.refused += max(0, arrived - taken)
+        return taken
 
     def wait_s(self, customer: str, now: float) -> float:
         """Returns the seconds until a token accrues, at most MAX_WAIT_S."""
@@ -222,6 +284,26 @@
         share = self._shares.get(customer)
         return share.bucket.fraction if share else 0.0
 
+    def holdings(self, now: float) -> list[Holding]:
+        """Returns what is held here, by customer."""
+        return [
+            Holding(
+                name,
+                share.held_until == math.inf,
+                share.bucket.fraction,
+                share.bucket.tokens,
+                share.demand.rate_per_s(now),
+                {
+                    region: report.demands.get(name) if report else None
+                    for region, report in self._regions.items()
+                },
+                share.granted,
+                share.refused,
+            )
+            for name, share in self._shares.items()
+            if share.terms.rate_per_s > 0 and share.held_until > -math.inf
+        ]
+
     def _hold(self, share: _Share, now: float) -> None:
         """Makes this instance a holder because it was asked."""
         was_held = share.held_until > -math.inf
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -148,6 +148,16 @@
         "gateway_store_fed",
         "Whether a hub passes the changes of the store on: 1 or 0.",
     ),
+    _gauge(
+        "gateway_token_fraction",
+        "Part of a customer's rate that this instance divides out.",
+        "customer",
+    ),
+    _gauge(
+        "gateway_tokens_granted",
+        "Tokens of a customer given out here since the start.",
+        "customer",
+    ),
     _gauge("gateway_log_lines_dropped", "Log lines dropped since the start."),
 )
 
