Count the demand at all token holders of a region, not the newest report only

What callers saw: while instances were restarted, a customer that sent many times its usual had more requests served than its limit allows (QUOTA). Cause: demand was keyed by region and customer, so that the report of any instance that held tokens there replaced that of the others. An instance that was asked three times and stood in for 2 s made a region of 140 requests a second look like one of 2, and the holders of the other regions took parts that summed to 1.3 to 1.5 of the rate. Change: demand is keyed by holder too, and each holder counts every other one, those of its own region included. Two holders of a region then divide its part by the demand that each of them sees, whoever they are and why.

--- a/src/radishmux/gateway/digest.py
+++ b/src/radishmux/gateway/digest.py
@@ -16,7 +16,7 @@
 from radishmux.membership.peers import MemberNews, Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
-from radishmux.share.fleet_rate import FleetRates
+from radishmux.share.fleet_rate import DemandReport, FleetRates
 from radishmux.share.region_demands import RegionDemand, RegionDemands
 from radishmux.shift.evidence import Evidence, Tallies, Tally
 from radishmux.store.feed import Feed
@@ -93,9 +93,10 @@
         """
         own = self._rates.report(now)
         self._held = frozenset(own.demands)
-        for customer, rate_per_s in own.demands.items():
+        region, holder = self._own.region, self._own.instance
+        for customer, demands in own.demands.items():
             self._demands.take(
-                RegionDemand(self._own.region, customer, rate_per_s, now)
+                RegionDemand(region, holder, customer, sum(demands), now)
             )
         self._regions = regions
         self._max_age_s = max_age_s
@@ -126,6 +127,7 @@
                     customer=one.customer,
                     rate_per_s=one.rate_per_s,
                     region=one.region,
+                    holder=one.holder,
                     age_ms=_to_ms(now - one.measured_at),
                 )
                 for one in self._told_demands(audience, max_age_s, asked, now)
@@ -168,7 +170,11 @@
             measured_at = now - one.age_ms / _MILLISECONDS
             self._demands.take(
                 RegionDemand(
-                    one.region, one.customer, one.rate_per_s, measured_at
+                    one.region,
+                    one.holder,
+                    one.customer,
+                    one.rate_per_s,
+                    measured_at,
                 )
             )
         if report.demands:
@@ -179,7 +185,11 @@
         return True
 
     def _divide(self, now: float) -> None:
-        """Divides the rates by what is known of the other regions."""
+        """Divides the rates by what is known of the other holders."""
+        rivals = self._demands.report(
+            self._own.region, self._max_age_s, now, self._own.instance
+        )
+        self._rates.take_rivals(rivals or DemandReport({}), now)
         for region in self._regions:
             report = self._demands.report(region, self._max_age_s, now)
             self._rates.take_report(region, report, now)
@@ -192,8 +202,8 @@
             case Audience.MEMBER:
                 # A member divides the rates of the customers that it holds.
                 held = frozenset(one.customer for one in asked.demands or ())
-                others = self._demands.regions - {region}
-                return self._demands.fresh(max_age_s, now, others, held)
+                told = self._demands.fresh(max_age_s, now, customers=held)
+                return [one for one in told if one.holder != asked.instance]
             case Audience.REGION:
                 return self._demands.fresh(max_age_s, now, (region,))
             case Audience.HUB:
--- a/src/radishmux/gateway/token_log.py
+++ b/src/radishmux/gateway/token_log.py
@@ -64,10 +64,15 @@
             fraction=round(holding.fraction, 3),
             tokens=round(holding.tokens, 1),
             demand_per_s=round(holding.demand_per_s, 1),
+            rival_demands_per_s=_rounded(holding.rival_demands_per_s),
             other_demands_per_s={
-                region: None if demand is None else round(demand, 1)
-                for region, demand in holding.other_demands_per_s.items()
+                region: None if demands is None else _rounded(demands)
+                for region, demands in holding.other_demands_per_s.items()
             },
             granted=holding.granted,
             refused=holding.refused,
         )
+
+
+def _rounded(demands: tuple[float, ...]) -> list[float]:
+    return [round(demand, 1) for demand in demands]
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -118,12 +118,14 @@
   3: list<string> cells,
 }
 
-// Demand of a customer in a region, as measured by its token holder there.
+// Demand of a customer, as measured by one of its token holders.
 struct CustomerDemand {
   1: string customer,
   2: double rate_per_s,
+  // Region of the holder.
   3: string region,
   4: i32 age_ms,
+  5: string holder,
 }
 
 struct VersionTally {
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -1,9 +1,11 @@
-"""Divides each customer's rate among the regions by demand; pure.
+"""Divides each customer's rate among its token holders by demand; pure.
 
 In each region one instance, the customer's token holder, has the region's
-part. All holders compute the division from the same reports of demand, so
-that their fractions sum to about one. Parts of single instances would be less
-than one token for small customers in a large fleet.
+part. While a holder is being replaced there may be two, of which each has a
+part by the demand that it sees. All holders compute the division from the
+same reports of demand, so that their fractions sum to about one. Parts of
+single instances would be less than one token for small customers in a large
+fleet.
 """
 
 from __future__ import annotations
@@ -46,11 +48,11 @@
     """Demand in one region.
 
     Attributes:
-        demands: Requests per second by customer, refused ones included; a
-            customer whose demand is not known is missing.
+        demands: Requests per second at each token holder by customer, refused
+            ones included; a customer whose demand is not known is missing.
     """
 
-    demands: dict[str, float]
+    demands: dict[str, tuple[float, ...]]
 
 
 class Holding:
@@ -63,7 +65,9 @@
         fraction: Part of the customer's rate.
         tokens: Tokens in the bucket.
         demand_per_s: Requests per second that asked for tokens here.
-        other_demands_per_s: The same in other regions; None: not heard.
+        rival_demands_per_s: The same at other holders of the region.
+        other_demands_per_s: The same at the holders of other regions; None:
+            not heard.
         granted: Tokens that were given out since the process started.
         refused: Requests that got none since then.
     """
@@ -76,6 +80,7 @@
         "is_holder",
         "other_demands_per_s",
         "refused",
+        "rival_demands_per_s",
         "tokens",
     )
 
@@ -86,7 +91,8 @@
         fraction: float,
         tokens: float,
         demand_per_s: float,
-        other_demands_per_s: dict[str, float | None],
+        rival_demands_per_s: tuple[float, ...],
+        other_demands_per_s: dict[str, tuple[float, ...] | None],
         granted: int,
         refused: int,
     ) -> None:
@@ -95,6 +101,7 @@
         self.fraction = fraction
         self.tokens = tokens
         self.demand_per_s = demand_per_s
+        self.rival_demands_per_s = rival_demands_per_s
         self.other_demands_per_s = other_demands_per_s
         self.granted = granted
         self.refused = refused
@@ -158,6 +165,8 @@
         self._own: deque[DemandReport] = deque([DemandReport({})], maxlen=2)
         # None: the region is silent, and may have any demand.
         self._regions: dict[str, DemandReport | None] = {}
+        # Other token holders of the own region.
+        self._rivals = DemandReport({})
         self._instances = 1
         self._isolated = False
 
@@ -234,7 +243,7 @@
             self._refresh_hold(share, now)
         held = DemandReport(
             {
-                name: share.demand.rate_per_s(now)
+                name: (share.demand.rate_per_s(now),)
                 for name, share in self._shares.items()
                 if share.held_until > -math.inf
             }
@@ -254,6 +263,12 @@
             self._regions[region] = report
             self._divide(now)
 
+    def take_rivals(self, report: DemandReport, now: float) -> None:
+        """Takes the demand at other token holders of the own region."""
+        if report != self._rivals:
+            self._rivals = report
+            self._divide(now)
+
     def set_fleet(
         self, regions: set[str], instances: int, lag: int, now: float
     ) -> None:
@@ -293,6 +308,7 @@
                 share.bucket.fraction,
                 share.bucket.tokens,
                 share.demand.rate_per_s(now),
+                self._rivals.demands.get(name, ()),
                 {
                     region: report.demands.get(name) if report else None
                     for region, report in self._regions.items()
@@ -369,12 +385,18 @@
         count = len(self._regions) + 1
         share.bucket.set_least_capacity(self._least_tokens, now)
         idle = IDLE_PART * share.terms.rate_per_s / count
-        demand = min(report.demands.get(name, 0.0) for report in self._own)
-        own = demand + idle
+        own = idle + min(
+            sum(report.demands.get(name, ())) for report in self._own
+        )
         total = own
+        for demand in self._rivals.demands.get(name, ()):
+            total += demand + idle
         for report in self._regions.values():
-            other = None if report is None else report.demands.get(name)
-            total += max(own, idle) if other is None else other + idle
+            others = None if report is None else report.demands.get(name)
+            if others is None:
+                total += own
+            else:
+                total += sum(others) + idle * len(others)
         fraction = own / total if total > 0 else 1.0 / count
         if self._isolated:
             fraction = min(fraction, 1.0 / self._instances) / 2
--- a/src/radishmux/share/region_demands.py
+++ b/src/radishmux/share/region_demands.py
@@ -8,31 +8,39 @@
 
 
 class RegionDemand:
-    """Demand of one customer in one region.
+    """Demand of one customer at one of its token holders.
 
     Attributes:
-        region: The region.
+        region: The holder's region.
+        holder: The holder.
         customer: The customer.
         rate_per_s: Requests per second, refused ones included.
         measured_at: Monotonic seconds when its holder measured it.
     """
 
-    __slots__ = ("customer", "measured_at", "rate_per_s", "region")
+    __slots__ = ("customer", "holder", "measured_at", "rate_per_s", "region")
 
     def __init__(
-        self, region: str, customer: str, rate_per_s: float, measured_at: float
+        self,
+        region: str,
+        holder: str,
+        customer: str,
+        rate_per_s: float,
+        measured_at: float,
     ) -> None:
         self.region = region
+        self.holder = holder
         self.customer = customer
         self.rate_per_s = rate_per_s
         self.measured_at = measured_at
 
 
 class RegionDemands:
-    """The newest demand of each customer in each region."""
+    """The newest demand of each customer at each of its token holders."""
 
     def __init__(self) -> None:
-        self._demands: dict[str, dict[str, RegionDemand]] = {}
+        # By region, then by customer and holder.
+        self._demands: dict[str, dict[tuple[str, str], RegionDemand]] = {}
 
     @property
     def regions(self) -> set[str]:
@@ -42,9 +50,10 @@
     def take(self, demand: RegionDemand) -> None:
         """Takes a demand if it is newer than the one known."""
         known = self._demands.setdefault(demand.region, {})
-        held = known.get(demand.customer)
+        key = (demand.customer, demand.holder)
+        held = known.get(key)
         if held is None or held.measured_at < demand.measured_at:
-            known[demand.customer] = demand
+            known[key] = demand
 
     def fresh(
         self,
@@ -63,18 +72,27 @@
         """
         found = []
         for region in self._demands if regions is None else regions:
-            for customer, demand in self._demands.get(region, {}).items():
+            for demand in self._demands.get(region, {}).values():
                 if now - demand.measured_at > max_age_s:
                     continue
-                if customers is None or customer in customers:
+                if customers is None or demand.customer in customers:
                     found.append(demand)
         return found
 
     def report(
-        self, region: str, max_age_s: float, now: float
+        self, region: str, max_age_s: float, now: float, without: str = ""
     ) -> DemandReport | None:
-        """Returns the demand in a region; None: nothing was heard lately."""
-        fresh = self.fresh(max_age_s, now, (region,))
-        if not fresh:
-            return None
-        return DemandReport({one.customer: one.rate_per_s for one in fresh})
+        """Returns the demand in a region; None: nothing was heard lately.
+
+        Args:
+            region: The region.
+            max_age_s: Age up to which demands count.
+            now: Monotonic seconds.
+            without: Holder that is left out.
+        """
+        demands: dict[str, tuple[float, ...]] = {}
+        for one in self.fresh(max_age_s, now, (region,)):
+            if one.holder != without:
+                before = demands.get(one.customer, ())
+                demands[one.customer] = (*before, one.rate_per_s)
+        return DemandReport(demands) if demands else None
--- a/tests/gateway/test_digest.py
+++ b/tests/gateway/test_digest.py
@@ -220,3 +220,23 @@
     fractions = {r: one.rates.fraction("c") for r, one in holders.items()}
     assert sum(fractions.values()) <= 1.0 + 1e-6
     assert fractions["a"] > 0.5 > fractions["b"] > 0.0
+
+
+# QUOTA on aqrp-retours: the report of an instance that was asked in the
+# holder's place stood for the demand of its whole region.
+def test_parts_of_two_holders_of_one_region_add_up():
+    fleet = Fleet(10)
+    holders = [fleet.nodes[name] for name in ("i00", "i01", "i02", "i03")]
+    assert [one.record.region for one in holders] == ["a", "b", "c", "a"]
+    for node in fleet.nodes.values():
+        node.rates.set_fleet({"a", "b", "c"} - {node.record.region}, 10, 1, 0.0)
+    for node in holders:
+        node.rates.set_held(frozenset({"c"}))
+    for _ in range(12):
+        now = fleet.clock.now()
+        for node, arrived in zip(holders, (30, 30, 30, 1), strict=True):
+            node.rates.take("c", arrived, arrived, now)
+        fleet.rounds(1)
+        fractions = [node.rates.fraction("c") for node in holders]
+        assert sum(fractions) <= 1.0 + 1e-6
+    assert min(fractions[:3]) > 0.25
