Leave tokens to the holder that there is when an instance starts

Cause: the instances that may hold tokens were read in each round of reports. An instance that starts has its first round before it has read the store, so that for half a second it knew no peer, took itself for the holder of every customer, gave out 2 or 3 tokens and counted as a holder for 2 s more. News of peers that leave also waited for the next round. Change: the holders are told at once when records or a peer's state change, and an instance that has not heard a peer of its region yet is not one of them, unless there is none. Test: test_started_instance_leaves_tokens_to_the_holder_that_there_is fails without the change (a second holder) and passes with it.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -171,10 +171,8 @@
         )
         self._state.watch(self._on_event)
         self._state.watch(self._rollouts.on_event)
-        self._mirror = await stack.enter_async_context(
-            StoreMirror(
-                self._store, keys.FOLLOWED_PREFIX, self._state, self._clock
-            )
+        self._mirror = StoreMirror(
+            self._store, keys.FOLLOWED_PREFIX, self._state, self._clock
         )
         holders = TokenHolders(settings.instance)
         digest = Digest(
@@ -186,19 +184,19 @@
             lambda: self._leaving,
             self._clock,
         )
-        self._reports = await stack.enter_async_context(
-            FleetReports(
-                self._record,
-                bus,
-                self._peers,
-                self._rates,
-                holders,
-                digest,
-                TokenLog(self._metrics),
-                self._clock,
-                settings.full_mesh_max,
-            )
+        self._reports = FleetReports(
+            self._record,
+            bus,
+            self._peers,
+            self._rates,
+            holders,
+            digest,
+            TokenLog(self._metrics),
+            self._clock,
+            settings.full_mesh_max,
         )
+        await stack.enter_async_context(self._mirror)
+        await stack.enter_async_context(self._reports)
         self._allowance = Allowance(self._rates, holders, bus, self._clock)
         self._registrar = await stack.enter_async_context(
             Registrar(
@@ -308,6 +306,7 @@
 
     def _on_members(self, now: float) -> None:
         self._peers.set_records(self._state.instances.values(), now)
+        self._reports.update_members()
         names = frozenset(self._peers.records) | {self._settings.instance}
         if names == self._members:
             return
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -162,17 +162,26 @@
         silent_after_s = plan.silent_periods * self._period_s
         self._peers.set_followed(plan.followed, silent_after_s, now)
 
-    def _set_fleet(self, now: float) -> None:
-        """Tells the rates and the token holders who takes part."""
-        own, records = self._own, self._peers.records
-        members = {own.instance} | {
+    def update_members(self) -> None:
+        """Tells the token holders who lives; call when that has changed."""
+        now = self._clock.now()
+        own = self._own
+        near = {
             name
-            for name, record in records.items()
-            if record.region == own.region and self._peers.is_usable(name, now)
+            for name, record in self._peers.records.items()
+            if record.region == own.region
         }
-        if self._digest.is_leaving and len(members) > 1:
-            members.discard(own.instance)
+        members = {name for name in near if self._peers.is_usable(name, now)}
+        # Peers do not know of an instance that has just started.
+        has_joined = any(self._peers.is_heard(name, now) for name in near)
+        if not members or (has_joined and not self._digest.is_leaving):
+            members.add(own.instance)
         self._holders.set_members(frozenset(members))
+
+    def _set_fleet(self, now: float) -> None:
+        """Tells the rates and the token holders who takes part."""
+        own, records = self._own, self._peers.records
+        self.update_members()
         regions = {one.region for one in records.values()} - {own.region}
         lag = _MESH_LAG if self._plan.is_mesh else RELAYED_LAG
         self._rates.set_fleet(regions, len(records) + 1, lag, now)
@@ -207,6 +216,7 @@
                 self._peers.refused(name, self._clock.now())
         elif isinstance(reply, messages.FleetReport):
             self._digest.read(reply, self._plan.pace)
+        self.update_members()
         if wants_feed and getattr(reply, "feed", None) is None:
             self._feeder = self._hub_after(name)
             why = getattr(reply, "reason", "") or "it knows no more"
@@ -228,6 +238,7 @@
 
     async def _on_report(self, message: Any, sender: Sender) -> Any:
         self._digest.read(message, self._plan.pace)
+        self.update_members()
         record = self._peers.records.get(message.instance)
         region = record.region if record else ""
         if region != self._own.region:
--- a/tests/gateway/test_holder_changes.py
+++ b/tests/gateway/test_holder_changes.py
@@ -40,3 +40,29 @@
         most[seed] = fleet.most_in_window(WINDOW_S)
     bound = allowed(TERMS, WINDOW_S)
     assert {seed: n for seed, n in most.items() if n > bound} == {}
+
+
+async def _start_beside_holder(loop):
+    fleet = virtual_fleet.VirtualFleet(loop, TERMS, seed=1)
+    await fleet.start_all()
+    await asyncio.sleep(3.0)
+    (holder,) = fleet.holders("a")
+    name = next(
+        name
+        for name in fleet.names
+        if name[0] == "a" and name != holder.record.instance
+    )
+    await fleet.network.running[name].kill()
+    await asyncio.sleep(virtual_fleet.START_S)
+    await fleet.start(name)
+    started = fleet.network.running[name]
+    grants = [await started.allowance.take(TERMS, 0.1) for _ in range(5)]
+    return grants, fleet.holders("a") == [holder]
+
+
+# QUOTA on aqrp-retours: an instance that had just started knew no peer, took
+# itself for the holder and gave out a part of the rate that others gave out.
+def test_started_instance_leaves_tokens_to_the_holder_that_there_is():
+    grants, is_only_holder = virtual_fleet.run(_start_beside_holder)
+    assert grants == [None] * 5
+    assert is_only_holder
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -198,6 +198,7 @@
 
     def read_records(self):
         self.peers.set_records(self.network.records.values(), self.clock.now())
+        self.reports.update_members()
 
     async def start(self):
         """Starts as the daemon does, whose reports begin with no peers."""
@@ -250,6 +251,15 @@
         self.admitted = []
         self.refused = []
 
+    def holders(self, region):
+        """Returns the processes of a region that hold the customer's tokens."""
+        return [
+            node
+            for node in self.network.running.values()
+            if node.record.region == region
+            and node.rates.holdings(self.loop.now())
+        ]
+
     async def start(self, name):
         """Starts a process of an instance."""
         self.incarnation += 1
