Move tokens and demand to the next holder when a region's holders change

What callers saw: refusals within the customer's rate while instances were restarted; besides, tokens that were there twice. Cause: ownership changed hands without its state. Each new holder began with 0.3 of the region's part of the burst, which the one before had given out; it measured demand from zero, so that it divided out little; the one before kept its part for 2 s, although nobody asked it any more; and for half a second instances disagreed on who was asked. Change: the instance that a customer falls to has the peers of its region release what they hold (messages HoldingRequest, HoldingReply): tokens, demand and the demand that counts in the division move, and the former holder gives out nothing more. The report that names the new holder ends the former one for other regions. Of a dead holder, whose port refuses connections, the demand goes on without tokens. A new holder has no tokens of its own. An instance that is asked and is not the holder passes the question on once.

--- a/src/radishmux/gateway/allowance.py
+++ b/src/radishmux/gateway/allowance.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from radishmux.clock import Clock
 from radishmux.config.routing import CustomerTerms
+from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.peer import messages
 from radishmux.peer.bus import PeerBus, Sender
 from radishmux.peer.link import PeerUnavailable
 from radishmux.share.demand import DemandMeter
-from radishmux.share.fleet_rate import MAX_WAIT_S, FleetRates
+from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holders import TokenHolders
 
 # Longest wait for a holder's answer: several times what a busy instance of
 # the same region takes.
 ASK_TIMEOUT_S = 0.25
+# The same for a question that was forwarded, and whose asker waits too.
+FORWARD_TIMEOUT_S = 0.1
 # A holder that did not answer is not asked again for this long: until peers
 # have noticed too.
 SUSPECT_S = 2.0
@@ -35,7 +39,7 @@
         tokens: Tokens that were granted.
         wait_s: Seconds until the next one accrues.
         fraction: Part of the customer's rate that the holder divides out.
-        holder: Name of the holder; empty: none answered.
+        holder: Name of the holder.
     """
 
     __slots__ = ("fraction", "holder", "tokens", "wait_s")
@@ -49,9 +53,6 @@
         self.fraction = fraction
 
 
-NO_HOLDER = Grant("", 0, MAX_WAIT_S, 0.0)
-
-
 class _Pocket:
     """Tokens of one customer that were fetched, and who waits for more."""
 
@@ -105,7 +106,9 @@
     Args:
         rates: Buckets that are held here.
         holders: Tells who holds the others.
+        changes: Takes over what falls to this instance.
         bus: Connections to the peers.
+        on_refused: Takes the name of a peer whose process is gone.
         clock: Monotonic time.
     """
 
@@ -113,12 +116,16 @@
         self,
         rates: FleetRates,
         holders: TokenHolders,
+        changes: HolderChanges,
         bus: PeerBus,
+        on_refused: Callable[[str], None],
         clock: Clock,
     ) -> None:
         self._rates = rates
         self._holders = holders
+        self._changes = changes
         self._bus = bus
+        self._on_refused = on_refused
         self._clock = clock
         self._pockets: dict[str, _Pocket] = {}
         self._suspects: dict[str, float] = {}
@@ -178,45 +185,73 @@
             task.exception()
 
     async def _ask(self, customer: str, pocket: _Pocket) -> Grant:
-        """Asks the holder, and those after it when it does not answer."""
+        """Asks for tokens for the requests that wait."""
         now = self._clock.now()
         wanted, arrived = pocket.wanted(now), pocket.arrived
         pocket.arrived = 0
+        grant = await self._find(customer, arrived, wanted, ASK_TIMEOUT_S)
+        if grant is None:
+            grant = self._take_here(customer, arrived, wanted)
+        if grant.tokens:
+            pocket.put(grant.tokens, self._clock.now())
+        return grant
+
+    async def _find(
+        self, customer: str, arrived: int, wanted: int, timeout_s: float
+    ) -> Grant | None:
+        """Takes tokens from the holder, wherever it is.
+
+        An instance whose turn it is after those that do not answer becomes a
+        holder too.
+
+        Returns:
+            The holder's answer; None: there is no holder.
+        """
+        if self._rates.is_held(customer):
+            return self._take_here(customer, arrived, wanted)
+        message = messages.TokenRequest(
+            customer=customer,
+            tokens=wanted,
+            arrived=arrived,
+            is_forwarded=timeout_s == FORWARD_TIMEOUT_S,
+        )
         asked = 0
-        for holder in self._holders.order(customer):
+        for holder in self._order(customer):
             if holder == self._bus.instance:
-                grant = self._take_here(customer, arrived, wanted)
-            elif self._suspects.get(holder, 0.0) > now:
+                if self._is_first(customer):
+                    await self._changes.take_over(frozenset({customer}))
+                return self._take_here(customer, arrived, wanted)
+            if self._suspects.get(holder, 0.0) > self._clock.now():
                 continue
-            elif asked == MAX_HOLDERS_ASKED:
+            if asked == MAX_HOLDERS_ASKED:
                 break
-            else:
-                asked += 1
-                answer = await self._ask_peer(holder, customer, arrived, wanted)
-                if answer is None:
-                    continue
-                grant = answer
-            if grant.tokens:
-                pocket.put(grant.tokens, self._clock.now())
-            return grant
-        return NO_HOLDER
+            asked += 1
+            grant = await self._ask_peer(holder, message, timeout_s)
+            if grant is not None:
+                return grant
+        return None
+
+    def _order(self, customer: str) -> list[str]:
+        """Returns the instances to ask, the likeliest holder first."""
+        order = list(self._holders.order(customer))
+        successor = self._changes.successor(customer)
+        if successor is not None:
+            order.insert(0, successor)
+        return order
 
     async def _ask_peer(
-        self, holder: str, customer: str, arrived: int, wanted: int
+        self, holder: str, message: Any, timeout_s: float
     ) -> Grant | None:
-        """Asks a peer; None: it did not answer."""
-        reply = await self._bus.request(
-            holder,
-            messages.TokenRequest(
-                customer=customer, tokens=wanted, arrived=arrived
-            ),
-            ASK_TIMEOUT_S,
-        )
+        """Asks a peer; None: it did not answer, or holds nothing."""
+        reply = await self._bus.request(holder, message, timeout_s)
         if isinstance(reply, PeerUnavailable):
             self._suspects[holder] = self._clock.now() + SUSPECT_S
+            if reply.refused:
+                self._on_refused(holder)
             return None
         if not isinstance(reply, messages.TokenGrant):
-            # It has not read the configuration with this customer yet.
+            # It has not read the configuration with this customer yet, or
+            # takes another instance for the holder.
             return None
         return Grant(holder, reply.tokens, reply.wait_ms / 1000, reply.fraction)
 
@@ -231,14 +266,26 @@
         )
 
     async def _on_request(self, message: Any, sender: Sender) -> Any:
-        if not self._rates.knows(message.customer):
+        customer = message.customer
+        if not self._rates.knows(customer):
             return messages.Done(accepted=False, reason="unknown customer")
-        grant = self._take_here(
-            message.customer, message.arrived, message.tokens
-        )
+        grant = None
+        if not message.is_forwarded or self._may_hold(customer):
+            grant = await self._find(
+                customer, message.arrived, message.tokens, FORWARD_TIMEOUT_S
+            )
+        if grant is None:
+            return messages.Done(accepted=False, reason="not the holder")
         return messages.TokenGrant(
-            customer=message.customer,
+            customer=customer,
             tokens=grant.tokens,
             wait_ms=round(1000 * grant.wait_s),
             fraction=grant.fraction,
         )
+
+    def _may_hold(self, customer: str) -> bool:
+        """Whether this instance is the holder, or takes itself for it."""
+        return self._rates.is_held(customer) or self._is_first(customer)
+
+    def _is_first(self, customer: str) -> bool:
+        return self._holders.order(customer)[:1] == (self._bus.instance,)
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -20,6 +20,7 @@
     InstancePut,
 )
 from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.gateway.reports import FleetReports
 from radishmux.gateway.request_flow import RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
@@ -146,7 +147,9 @@
         )
         self._state = FleetState(keys.event_of, settings.regions)
         self._rates = FleetRates(
-            settings.bounds.quota_overrun, settings.bounds.quota_slack
+            settings.bounds.quota_overrun,
+            settings.bounds.quota_slack,
+            settings.instance,
         )
         self._paces = ColdPaces(settings.instance)
         self._budgets = RetryBudgets(settings.bounds)
@@ -184,20 +187,32 @@
             lambda: self._leaving,
             self._clock,
         )
+        changes = HolderChanges(
+            self._record, self._rates, digest, self._peers, bus, self._clock
+        )
         self._reports = FleetReports(
             self._record,
             bus,
             self._peers,
             self._rates,
             holders,
+            changes,
             digest,
             TokenLog(self._metrics),
             self._clock,
             settings.full_mesh_max,
         )
         await stack.enter_async_context(self._mirror)
+        await stack.enter_async_context(changes)
         await stack.enter_async_context(self._reports)
-        self._allowance = Allowance(self._rates, holders, bus, self._clock)
+        self._allowance = Allowance(
+            self._rates,
+            holders,
+            changes,
+            bus,
+            self._reports.on_refused,
+            self._clock,
+        )
         self._registrar = await stack.enter_async_context(
             Registrar(
                 self._store,
--- a/src/radishmux/gateway/digest.py
+++ b/src/radishmux/gateway/digest.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from radishmux.clock import Clock
@@ -17,6 +17,7 @@
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
 from radishmux.share.fleet_rate import DemandReport, FleetRates
+from radishmux.share.holding import MovedHolding
 from radishmux.share.region_demands import RegionDemand, RegionDemands
 from radishmux.shift.evidence import Evidence, Tallies, Tally
 from radishmux.store.feed import Feed
@@ -96,12 +97,52 @@
         region, holder = self._own.region, self._own.instance
         for customer, demands in own.demands.items():
             self._demands.take(
-                RegionDemand(region, holder, customer, sum(demands), now)
+                RegionDemand(region, holder, customer, demands[holder], now)
             )
         self._regions = regions
         self._max_age_s = max_age_s
         self._divide(now)
 
+    def take_over(self, holdings: Iterable[MovedHolding], now: float) -> None:
+        """Takes holdings that peers of the region have released.
+
+        Others hear of the new holder and of the end of the former one in the
+        same report.
+        """
+        region = self._own.region
+        for moved in holdings:
+            self._rates.take_over(moved, now)
+            customer = moved.customer
+            self._demands.take(
+                RegionDemand(region, moved.former, customer, 0.0, now, True)
+            )
+            rate_per_s = self._rates.demand_per_s(customer, now)
+            self._demands.take(
+                RegionDemand(
+                    region, self._own.instance, customer, rate_per_s, now
+                )
+            )
+        self._divide(now)
+
+    def holdings_of_dead(
+        self, holder: str, customers: Iterable[str], now: float
+    ) -> list[MovedHolding]:
+        """Returns what is known of the holdings of a dead peer of the region.
+
+        Its tokens are lost: it may have given out those of its last report.
+        """
+        found = []
+        for customer in customers:
+            known = self._demands.get(self._own.region, customer, holder)
+            if known is None or known.is_over:
+                continue
+            if now - known.measured_at <= self._max_age_s:
+                rate_per_s = known.rate_per_s
+                found.append(
+                    MovedHolding(customer, holder, 0.0, rate_per_s, rate_per_s)
+                )
+        return found
+
     def write(
         self,
         audience: Audience,
@@ -129,6 +170,7 @@
                     region=one.region,
                     holder=one.holder,
                     age_ms=_to_ms(now - one.measured_at),
+                    is_over=one.is_over,
                 )
                 for one in self._told_demands(audience, max_age_s, asked, now)
             ],
@@ -175,6 +217,7 @@
                     one.customer,
                     one.rate_per_s,
                     measured_at,
+                    one.is_over,
                 )
             )
         if report.demands:
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -8,6 +8,7 @@
 
 from radishmux.clock import Clock
 from radishmux.gateway.digest import Audience, Digest
+from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.gateway.token_log import TokenLog
 from radishmux.membership.hubs import (
     FULL_MESH_MAX,
@@ -49,6 +50,7 @@
         peers: Takes who was heard.
         rates: Is told who takes part.
         holders: Is told who may hold tokens.
+        changes: Is told what falls to this instance.
         digest: Writes and reads the reports.
         token_log: Is told what is held here.
         clock: Monotonic time.
@@ -62,6 +64,7 @@
         peers: Peers,
         rates: FleetRates,
         holders: TokenHolders,
+        changes: HolderChanges,
         digest: Digest,
         token_log: TokenLog,
         clock: Clock,
@@ -72,6 +75,7 @@
         self._peers = peers
         self._rates = rates
         self._holders = holders
+        self._changes = changes
         self._digest = digest
         self._token_log = token_log
         self._clock = clock
@@ -162,6 +166,11 @@
         silent_after_s = plan.silent_periods * self._period_s
         self._peers.set_followed(plan.followed, silent_after_s, now)
 
+    def on_refused(self, name: str) -> None:
+        """Takes that a peer refused a connection: its process is gone."""
+        self._peers.refused(name, self._clock.now())
+        self.update_members()
+
     def update_members(self) -> None:
         """Tells the token holders who lives; call when that has changed."""
         now = self._clock.now()
@@ -176,7 +185,11 @@
         has_joined = any(self._peers.is_heard(name, now) for name in near)
         if not members or (has_joined and not self._digest.is_leaving):
             members.add(own.instance)
-        self._holders.set_members(frozenset(members))
+        if self._holders.set_members(frozenset(members)):
+            self._set_designated()
+
+    def _set_designated(self) -> None:
+        self._changes.set_designated(self._holders.held(self._rates.customers))
 
     def _set_fleet(self, now: float) -> None:
         """Tells the rates and the token holders who takes part."""
@@ -186,7 +199,7 @@
         lag = _MESH_LAG if self._plan.is_mesh else RELAYED_LAG
         self._rates.set_fleet(regions, len(records) + 1, lag, now)
         self._rates.set_isolated(self._peers.is_isolated(now), now)
-        self._rates.set_held(self._holders.held(self._rates.customers))
+        self._set_designated()
         self._digest.measure(regions, self._demand_age_s, now)
         self._token_log.write(self._rates.holdings(now))
 
@@ -213,7 +226,7 @@
         reply = await self._bus.request(name, report, REPLY_TIMEOUT_S)
         if isinstance(reply, PeerUnavailable):
             if reply.refused:
-                self._peers.refused(name, self._clock.now())
+                self.on_refused(name)
         elif isinstance(reply, messages.FleetReport):
             self._digest.read(reply, self._plan.pace)
         self.update_members()
--- a/src/radishmux/gateway/token_log.py
+++ b/src/radishmux/gateway/token_log.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from radishmux.share.fleet_rate import Holding
+from radishmux.share.holding import Holding
 from radishmux.telemetry.logs import state_change
 from radishmux.telemetry.metrics import Metrics
 
@@ -74,5 +74,5 @@
         )
 
 
-def _rounded(demands: tuple[float, ...]) -> list[float]:
-    return [round(demand, 1) for demand in demands]
+def _rounded(demands: dict[str, float]) -> dict[str, float]:
+    return {holder: round(demand, 1) for holder, demand in demands.items()}
--- a/src/radishmux/membership/peers.py
+++ b/src/radishmux/membership/peers.py
@@ -208,6 +208,18 @@
             and now - peer.heard_at < self._silent_after_s
         )
 
+    def is_gone(self, name: str) -> bool:
+        """Whether a peer's process was found dead after its latest report."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.is_gone
+
+    def is_reachable(self, name: str, now: float) -> bool:
+        """Whether a peer may answer; it may be leaving."""
+        peer = self._peers.get(name)
+        if peer is None or peer.is_gone:
+            return False
+        return self._is_joining(peer, now) or self.is_heard(name, now)
+
     def heard_age_s(self, name: str, now: float) -> float:
         """Returns the seconds since a peer was heard; inf: never."""
         peer = self._peers.get(name)
@@ -238,5 +250,9 @@
             return False
         if self._followed is not None and name not in self._followed:
             return True
-        joined = peer.heard_at == -math.inf and now - peer.since < JOIN_GRACE_S
-        return joined or now - peer.heard_at < self._silent_after_s
+        is_joining = self._is_joining(peer, now)
+        return is_joining or now - peer.heard_at < self._silent_after_s
+
+    @staticmethod
+    def _is_joining(peer: _Peer, now: float) -> bool:
+        return peer.heard_at == -math.inf and now - peer.since < JOIN_GRACE_S
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -126,6 +126,8 @@
   3: string region,
   4: i32 age_ms,
   5: string holder,
+  // The holder was replaced then; what it reported before does not count.
+  6: bool is_over = false,
 }
 
 struct VersionTally {
@@ -199,6 +201,8 @@
   2: i32 tokens,
   // Requests that were not counted in an earlier question.
   3: i32 arrived,
+  // The instance that was asked first takes the receiver for the holder.
+  4: bool is_forwarded = false,
 }
 
 struct TokenGrant {
@@ -210,6 +214,24 @@
   4: double fraction,
 }
 
+// Asks a peer of the region to give up what it holds of customers' rates, since
+// the sender is their token holder now.
+struct HoldingRequest {
+  1: list<string> customers,
+}
+
+struct MovedHolding {
+  1: string customer,
+  2: double tokens,
+  3: double demand_per_s,
+  // Demand that was counted as the holder's own when it divided the rate.
+  4: double counted_per_s,
+}
+
+struct HoldingReply {
+  1: list<MovedHolding> holdings,
+}
+
 struct Done {
   1: bool accepted,
   2: string reason,
@@ -233,6 +255,8 @@
   15: FleetReport fleet_report,
   16: TokenRequest token_request,
   17: TokenGrant token_grant,
+  18: HoldingRequest holding_request,
+  19: HoldingReply holding_reply,
 }
 
 struct Envelope {
--- a/src/radishmux/share/demand.py
+++ b/src/radishmux/share/demand.py
@@ -23,6 +23,11 @@
         self._decay(now)
         self._count += requests
 
+    def add(self, rate_per_s: float, now: float) -> None:
+        """Adds the estimate of another meter."""
+        self._decay(now)
+        self._count += rate_per_s * WINDOW_S
+
     def rate_per_s(self, now: float) -> float:
         """Returns the estimate."""
         self._decay(now)
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -19,6 +19,7 @@
 from radishmux.config.routing import CustomerTerms
 from radishmux.share.bucket import FractionBucket
 from radishmux.share.demand import DemandMeter
+from radishmux.share.holding import Holding, MovedHolding
 
 # Demand that every region is taken to have, as part of the customer's rate
 # divided by the regions, so that callers who arrive find something.
@@ -29,9 +30,6 @@
 # hold beyond its part of the burst: a part of a small customer's burst can be
 # less than one token, and would admit nothing.
 SLACK_USED = 0.9
-# Part of a burst that a new holder has. What the one before it used counts in
-# the same window, so that it cannot have all of it again.
-START_PART = 0.3
 # A holder that nobody takes to be one any more goes on for this long after the
 # latest question, since instances learn of changes one after the other.
 HOLD_S = 2.0
@@ -48,63 +46,11 @@
     """Demand in one region.
 
     Attributes:
-        demands: Requests per second at each token holder by customer, refused
-            ones included; a customer whose demand is not known is missing.
+        demands: Requests per second by customer and token holder, refused ones
+            included; a customer whose demand is not known is missing.
     """
 
-    demands: dict[str, tuple[float, ...]]
-
-
-class Holding:
-    """What an instance holds of one customer's rate.
-
-    Attributes:
-        customer: Name of the customer.
-        is_holder: Whether it is the holder by its own view; False: it goes on
-            because it was asked.
-        fraction: Part of the customer's rate.
-        tokens: Tokens in the bucket.
-        demand_per_s: Requests per second that asked for tokens here.
-        rival_demands_per_s: The same at other holders of the region.
-        other_demands_per_s: The same at the holders of other regions; None:
-            not heard.
-        granted: Tokens that were given out since the process started.
-        refused: Requests that got none since then.
-    """
-
-    __slots__ = (
-        "customer",
-        "demand_per_s",
-        "fraction",
-        "granted",
-        "is_holder",
-        "other_demands_per_s",
-        "refused",
-        "rival_demands_per_s",
-        "tokens",
-    )
-
-    def __init__(
-        self,
-        customer: str,
-        is_holder: bool,
-        fraction: float,
-        tokens: float,
-        demand_per_s: float,
-        rival_demands_per_s: tuple[float, ...],
-        other_demands_per_s: dict[str, tuple[float, ...] | None],
-        granted: int,
-        refused: int,
-    ) -> None:
-        self.customer = customer
-        self.is_holder = is_holder
-        self.fraction = fraction
-        self.tokens = tokens
-        self.demand_per_s = demand_per_s
-        self.rival_demands_per_s = rival_demands_per_s
-        self.other_demands_per_s = other_demands_per_s
-        self.granted = granted
-        self.refused = refused
+    demands: dict[str, dict[str, float]]
 
 
 class _Share:
@@ -114,9 +60,10 @@
         terms: The customer.
         bucket: Tokens of the region's part.
         demand: Requests that asked for tokens.
+        told_per_s: Demand in the latest reports, the newest last; others may
+            not have the newest ones yet.
         granted: Tokens that were given out.
         refused: Requests that got none.
-        is_started: Whether the bucket got its first tokens.
         held_until: Monotonic time until which this instance is a holder;
             -inf: it is none, and the bucket is empty.
     """
@@ -126,9 +73,9 @@
         "demand",
         "granted",
         "held_until",
-        "is_started",
         "refused",
         "terms",
+        "told_per_s",
     )
 
     def __init__(
@@ -141,11 +88,23 @@
         self.terms = terms
         self.bucket = FractionBucket(rate_per_s, terms.burst, now, least_tokens)
         self.demand = DemandMeter(now)
+        self.told_per_s: deque[float] = deque([0.0], maxlen=2)
         self.granted = 0
         self.refused = 0
-        self.is_started = False
         self.held_until = -math.inf
 
+    @property
+    def is_held(self) -> bool:
+        """Whether this instance gives out tokens."""
+        return self.held_until > -math.inf
+
+    def drop(self, now: float) -> None:
+        """Ends the holding; tokens that are left are lost."""
+        self.held_until = -math.inf
+        self.bucket.set_fraction(0.0, now)
+        self.demand = DemandMeter(now)
+        self.told_per_s = deque([0.0], maxlen=self.told_per_s.maxlen)
+
 
 class FleetRates:
     """The region's parts of customers' rates, as far as they are held here.
@@ -153,16 +112,19 @@
     Args:
         overrun: Fraction by which a customer may exceed its rate.
         slack: Requests by which it may exceed its rate and burst in a window.
+        instance: Name of this instance.
     """
 
-    def __init__(self, overrun: float = 0.0, slack: float = 0.0) -> None:
+    def __init__(
+        self, overrun: float = 0.0, slack: float = 0.0, instance: str = ""
+    ) -> None:
+        self._instance = instance
         self._overrun = overrun
         self._slack = slack
         self._shares: dict[str, _Share] = {}
         self._held: frozenset[str] = frozenset()
-        # The latest reports, the newest last; other regions may not have the
-        # newest ones yet.
-        self._own: deque[DemandReport] = deque([DemandReport({})], maxlen=2)
+        # Reports after which others know of growth.
+        self._lag = 1
         # None: the region is silent, and may have any demand.
         self._regions: dict[str, DemandReport | None] = {}
         # Other token holders of the own region.
@@ -190,6 +152,16 @@
         for name in self._shares.keys() - names:
             del self._shares[name]
 
+    @property
+    def contested(self) -> frozenset[str]:
+        """Names of the customers that another instance of the region holds."""
+        return frozenset(self._rivals.demands)
+
+    def is_held(self, customer: str) -> bool:
+        """Whether a customer's tokens are given out here."""
+        share = self._shares.get(customer)
+        return share is not None and share.is_held
+
     def knows(self, customer: str) -> bool:
         """Whether a customer is part of the configuration."""
         return customer in self._shares
@@ -241,19 +213,14 @@
         """
         for share in self._shares.values():
             self._refresh_hold(share, now)
-        held = DemandReport(
-            {
-                name: (share.demand.rate_per_s(now),)
-                for name, share in self._shares.items()
-                if share.held_until > -math.inf
-            }
-        )
-        self._own.append(held)
+        demands = {}
+        for name, share in self._shares.items():
+            if share.is_held:
+                rate_per_s = share.demand.rate_per_s(now)
+                share.told_per_s.append(rate_per_s)
+                demands[name] = {self._instance: rate_per_s}
         self._divide(now)
-        for share in self._shares.values():
-            if share.held_until > -math.inf:
-                self._start(share, now)
-        return held
+        return DemandReport(demands)
 
     def take_report(
         self, region: str, report: DemandReport | None, now: float
@@ -285,7 +252,10 @@
         for name in regions - self._regions.keys():
             self._regions[name] = None
         self._instances = instances
-        self._own = deque(self._own, maxlen=1 + lag)
+        if lag != self._lag:
+            self._lag = lag
+            for share in self._shares.values():
+                share.told_per_s = deque(share.told_per_s, maxlen=1 + lag)
         self._divide(now)
 
     def set_isolated(self, isolated: bool, now: float) -> None:
@@ -294,11 +264,46 @@
             self._isolated = isolated
             self._divide(now)
 
+    def demand_per_s(self, customer: str, now: float) -> float:
+        """Returns the requests per second that ask for tokens here."""
+        share = self._shares.get(customer)
+        return share.demand.rate_per_s(now) if share else 0.0
+
     def fraction(self, customer: str) -> float:
         """Returns the part of a customer's rate that is held here, 0 to 1."""
         share = self._shares.get(customer)
         return share.bucket.fraction if share else 0.0
 
+    def release(self, customer: str, now: float) -> MovedHolding | None:
+        """Ends a holding for the region's next holder; None: there is none."""
+        share = self._shares.get(customer)
+        if share is None or not share.is_held:
+            return None
+        share.bucket.advance(now)
+        moved = MovedHolding(
+            customer,
+            self._instance,
+            share.bucket.tokens,
+            share.demand.rate_per_s(now),
+            min(share.told_per_s),
+        )
+        share.drop(now)
+        return moved
+
+    def take_over(self, moved: MovedHolding, now: float) -> None:
+        """Takes a holding that another instance released."""
+        share = self._shares.get(moved.customer)
+        if share is None:
+            return
+        share.held_until = max(share.held_until, now + HOLD_S)
+        share.demand.add(moved.demand_per_s, now)
+        counted_per_s = min(share.told_per_s) + moved.counted_per_s
+        share.told_per_s = deque(
+            [counted_per_s], maxlen=share.told_per_s.maxlen
+        )
+        self._set_fraction(share, now)
+        share.bucket.put(moved.tokens, now)
+
     def holdings(self, now: float) -> list[Holding]:
         """Returns what is held here, by customer."""
         return [
@@ -308,7 +313,7 @@
                 share.bucket.fraction,
                 share.bucket.tokens,
                 share.demand.rate_per_s(now),
-                self._rivals.demands.get(name, ()),
+                self._rivals.demands.get(name, {}),
                 {
                     region: report.demands.get(name) if report else None
                     for region, report in self._regions.items()
@@ -317,32 +322,26 @@
                 share.refused,
             )
             for name, share in self._shares.items()
-            if share.terms.rate_per_s > 0 and share.held_until > -math.inf
+            if share.terms.rate_per_s > 0 and share.is_held
         ]
 
     def _hold(self, share: _Share, now: float) -> None:
-        """Makes this instance a holder because it was asked."""
-        was_held = share.held_until > -math.inf
+        """Makes this instance a holder because it was asked.
+
+        It has no tokens at first: others may have given them out.
+        """
+        was_held = share.is_held
         share.held_until = max(share.held_until, now + HOLD_S)
         if not was_held:
             self._set_fraction(share, now)
-            self._start(share, now)
-
-    @staticmethod
-    def _start(share: _Share, now: float) -> None:
-        """Gives a new holder's bucket its first tokens."""
-        if not share.is_started:
-            share.is_started = True
-            share.bucket.put(START_PART * share.bucket.capacity, now)
 
     def _refresh_hold(self, share: _Share, now: float) -> None:
         if share.terms.name in self._held:
             share.held_until = math.inf
         elif share.held_until == math.inf:
             share.held_until = now + HOLD_S
-        elif share.held_until < now and share.held_until > -math.inf:
-            share.held_until = -math.inf
-            share.is_started = False
+        elif share.is_held and share.held_until < now:
+            share.drop(now)
 
     def _share(self, customer: CustomerTerms, now: float) -> _Share:
         share = self._shares.get(customer.name)
@@ -353,6 +352,7 @@
                 self._least_tokens,
                 now,
             )
+            share.told_per_s = deque([0.0], maxlen=1 + self._lag)
             self._set_fraction(share, now)
         elif share.terms is not customer:
             share.terms = customer
@@ -374,29 +374,27 @@
 
     def _divide(self, now: float) -> None:
         for share in self._shares.values():
-            if share.held_until > -math.inf or share.bucket.fraction > 0.0:
+            if share.is_held:
                 self._set_fraction(share, now)
 
     def _set_fraction(self, share: _Share, now: float) -> None:
-        if share.held_until == -math.inf:
+        if not share.is_held:
             share.bucket.set_fraction(0.0, now)
             return
         name = share.terms.name
         count = len(self._regions) + 1
         share.bucket.set_least_capacity(self._least_tokens, now)
         idle = IDLE_PART * share.terms.rate_per_s / count
-        own = idle + min(
-            sum(report.demands.get(name, ())) for report in self._own
-        )
+        own = idle + min(share.told_per_s)
         total = own
-        for demand in self._rivals.demands.get(name, ()):
+        for demand in self._rivals.demands.get(name, {}).values():
             total += demand + idle
         for report in self._regions.values():
             others = None if report is None else report.demands.get(name)
             if others is None:
                 total += own
             else:
-                total += sum(others) + idle * len(others)
+                total += sum(others.values()) + idle * len(others)
         fraction = own / total if total > 0 else 1.0 / count
         if self._isolated:
             fraction = min(fraction, 1.0 / self._instances) / 2
--- a/src/radishmux/share/holders.py
+++ b/src/radishmux/share/holders.py
@@ -22,11 +22,17 @@
         self._members: frozenset[str] = frozenset({own})
         self._orders: dict[str, tuple[str, ...]] = {}
 
-    def set_members(self, members: frozenset[str]) -> None:
-        """Sets the instances of the region that may hold tokens."""
-        if members != self._members:
-            self._members = members
-            self._orders.clear()
+    def set_members(self, members: frozenset[str]) -> bool:
+        """Sets the instances of the region that may hold tokens.
+
+        Returns:
+            Whether they have changed.
+        """
+        if members == self._members:
+            return False
+        self._members = members
+        self._orders.clear()
+        return True
 
     def order(self, customer: str) -> tuple[str, ...]:
         """Returns the instances for a customer, its holder first."""
--- /dev/null
+++ b/src/radishmux/share/holding.py
@@ -0,0 +1,90 @@
+"""What token holders have of customers' rates."""
+
+from __future__ import annotations
+
+
+class Holding:
+    """What an instance holds of one customer's rate.
+
+    Attributes:
+        customer: Name of the customer.
+        is_holder: Whether it is the holder by its own view; False: it goes on
+            because it was asked.
+        fraction: Part of the customer's rate.
+        tokens: Tokens in the bucket.
+        demand_per_s: Requests per second that asked for tokens here.
+        rival_demands_per_s: The same at other holders of the region, by name.
+        other_demands_per_s: The same at the holders of other regions, by
+            region and name; None: not heard.
+        granted: Tokens that were given out since the process started.
+        refused: Requests that got none since then.
+    """
+
+    __slots__ = (
+        "customer",
+        "demand_per_s",
+        "fraction",
+        "granted",
+        "is_holder",
+        "other_demands_per_s",
+        "refused",
+        "rival_demands_per_s",
+        "tokens",
+    )
+
+    def __init__(
+        self,
+        customer: str,
+        is_holder: bool,
+        fraction: float,
+        tokens: float,
+        demand_per_s: float,
+        rival_demands_per_s: dict[str, float],
+        other_demands_per_s: dict[str, dict[str, float] | None],
+        granted: int,
+        refused: int,
+    ) -> None:
+        self.customer = customer
+        self.is_holder = is_holder
+        self.fraction = fraction
+        self.tokens = tokens
+        self.demand_per_s = demand_per_s
+        self.rival_demands_per_s = rival_demands_per_s
+        self.other_demands_per_s = other_demands_per_s
+        self.granted = granted
+        self.refused = refused
+
+
+class MovedHolding:
+    """A holding that goes from one token holder of a region to the next.
+
+    Attributes:
+        customer: Name of the customer.
+        former: The holder that gave it up.
+        tokens: Tokens that were left in its bucket.
+        demand_per_s: Requests per second that asked it for tokens.
+        counted_per_s: Demand that it counted as its own when it divided the
+            rate; less than `demand_per_s` while demand grows.
+    """
+
+    __slots__ = (
+        "counted_per_s",
+        "customer",
+        "demand_per_s",
+        "former",
+        "tokens",
+    )
+
+    def __init__(
+        self,
+        customer: str,
+        former: str,
+        tokens: float,
+        demand_per_s: float,
+        counted_per_s: float,
+    ) -> None:
+        self.customer = customer
+        self.former = former
+        self.tokens = tokens
+        self.demand_per_s = demand_per_s
+        self.counted_per_s = counted_per_s
--- a/src/radishmux/share/region_demands.py
+++ b/src/radishmux/share/region_demands.py
@@ -16,9 +16,18 @@
         customer: The customer.
         rate_per_s: Requests per second, refused ones included.
         measured_at: Monotonic seconds when its holder measured it.
+        is_over: Whether the holder was replaced at that time, so that what it
+            reported before does not count.
     """
 
-    __slots__ = ("customer", "holder", "measured_at", "rate_per_s", "region")
+    __slots__ = (
+        "customer",
+        "holder",
+        "is_over",
+        "measured_at",
+        "rate_per_s",
+        "region",
+    )
 
     def __init__(
         self,
@@ -27,12 +36,14 @@
         customer: str,
         rate_per_s: float,
         measured_at: float,
+        is_over: bool = False,
     ) -> None:
         self.region = region
         self.holder = holder
         self.customer = customer
         self.rate_per_s = rate_per_s
         self.measured_at = measured_at
+        self.is_over = is_over
 
 
 class RegionDemands:
@@ -55,6 +66,12 @@
         if held is None or held.measured_at < demand.measured_at:
             known[key] = demand
 
+    def get(
+        self, region: str, customer: str, holder: str
+    ) -> RegionDemand | None:
+        """Returns the latest that is known of a customer at a holder."""
+        return self._demands.get(region, {}).get((customer, holder))
+
     def fresh(
         self,
         max_age_s: float,
@@ -90,9 +107,9 @@
             now: Monotonic seconds.
             without: Holder that is left out.
         """
-        demands: dict[str, tuple[float, ...]] = {}
+        demands: dict[str, dict[str, float]] = {}
         for one in self.fresh(max_age_s, now, (region,)):
-            if one.holder != without:
-                before = demands.get(one.customer, ())
-                demands[one.customer] = (*before, one.rate_per_s)
+            if one.holder != without and not one.is_over:
+                holders = demands.setdefault(one.customer, {})
+                holders[one.holder] = one.rate_per_s
         return DemandReport(demands) if demands else None
--- a/tests/gateway/test_holder_changes.py
+++ b/tests/gateway/test_holder_changes.py
@@ -5,6 +5,8 @@
 import asyncio
 from functools import partial
 
+import pytest
+
 from tests.gateway import virtual_fleet
 from tests.gateway.parts import customer
 from tests.share.test_fleet_rate import allowed
@@ -15,6 +17,9 @@
 USUAL_PER_S = 60.0
 HOT = 8.0
 SEEDS = range(1, 7)
+# The users' bound on refusals within a customer's rate in the minute around
+# the death of an instance.
+MAX_REFUSED_SHARE = 0.01
 
 
 async def _roll_with_hot_customer(loop, seed):
@@ -66,3 +71,46 @@
     grants, is_only_holder = virtual_fleet.run(_start_beside_holder)
     assert grants == [None] * 5
     assert is_only_holder
+
+
+async def _serve_through(loop, seed, rate_per_s, disturb):
+    fleet = virtual_fleet.VirtualFleet(loop, TERMS, seed)
+    fleet.rate_per_s = rate_per_s
+    await fleet.start_all()
+    await asyncio.sleep(2.0)
+    calls = asyncio.create_task(fleet.call(20.0))
+    await asyncio.sleep(6.0)
+    await disturb(fleet)
+    await calls
+    return fleet
+
+
+async def _roll(fleet):
+    await fleet.roll(at_once=2, gap_s=1.1)
+
+
+async def _kill_holder(fleet):
+    (holder,) = fleet.holders("a")
+    await holder.kill()
+
+
+# Next holders began with a part of the burst and without the demand of the one
+# before, which kept its part for 2 s: too many tokens at once, then too few.
+@pytest.mark.parametrize(
+    ("disturb", "rate_per_s"), [(_roll, 100.0), (_kill_holder, 135.0)]
+)
+def test_customer_within_its_rate_is_served_while_holders_change(
+    disturb, rate_per_s
+):
+    for seed in (1, 2, 3):
+        fleet = virtual_fleet.run(
+            partial(
+                _serve_through,
+                seed=seed,
+                rate_per_s=rate_per_s,
+                disturb=disturb,
+            )
+        )
+        sent = len(fleet.admitted) + len(fleet.refused)
+        assert len(fleet.refused) < MAX_REFUSED_SHARE * sent
+        assert fleet.most_in_window(WINDOW_S) <= allowed(TERMS, WINDOW_S)
