Tell the rates of the other regions as soon as these are known

The regions that divide a rate were read in each round of reports; an instance that starts has its first round before it has read the store, so that until the next one it took its region for the only one. Alone in it, it gave out the whole rate for up to half a second. Change: the regions are told together with the instances that may hold tokens, at once when the records change. Test: test_started_instance_leaves_the_other_regions_their_parts fails without (a part of 1.0) and passes.

--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -185,22 +185,27 @@
         has_joined = any(self._peers.is_heard(name, now) for name in near)
         if not members or (has_joined and not self._digest.is_leaving):
             members.add(own.instance)
+        lag = _MESH_LAG if self._plan.is_mesh else RELAYED_LAG
+        self._rates.set_fleet(
+            self._other_regions, len(self._peers.records) + 1, lag, now
+        )
         if self._holders.set_members(frozenset(members)):
             self._set_designated()
 
+    @property
+    def _other_regions(self) -> set[str]:
+        records = self._peers.records.values()
+        return {one.region for one in records} - {self._own.region}
+
     def _set_designated(self) -> None:
         self._changes.set_designated(self._holders.held(self._rates.customers))
 
     def _set_fleet(self, now: float) -> None:
         """Tells the rates and the token holders who takes part."""
-        own, records = self._own, self._peers.records
         self.update_members()
-        regions = {one.region for one in records.values()} - {own.region}
-        lag = _MESH_LAG if self._plan.is_mesh else RELAYED_LAG
-        self._rates.set_fleet(regions, len(records) + 1, lag, now)
         self._rates.set_isolated(self._peers.is_isolated(now), now)
         self._set_designated()
-        self._digest.measure(regions, self._demand_age_s, now)
+        self._digest.measure(self._other_regions, self._demand_age_s, now)
         self._token_log.write(self._rates.holdings(now))
 
     def _start_exchange(self, name: str) -> None:
--- a/tests/gateway/test_holder_changes.py
+++ b/tests/gateway/test_holder_changes.py
@@ -114,3 +114,22 @@
         sent = len(fleet.admitted) + len(fleet.refused)
         assert len(fleet.refused) < MAX_REFUSED_SHARE * sent
         assert fleet.most_in_window(WINDOW_S) <= allowed(TERMS, WINDOW_S)
+
+
+async def _start_alone_in_region(loop):
+    fleet = virtual_fleet.VirtualFleet(loop, TERMS, seed=1, sizes=(3, 3, 1))
+    await fleet.start_all()
+    await asyncio.sleep(3.0)
+    await fleet.network.running["c-0"].kill()
+    await asyncio.sleep(virtual_fleet.START_S)
+    await fleet.start("c-0")
+    node = fleet.network.running["c-0"]
+    await node.allowance.take(TERMS, 0.0)
+    return node.rates.fraction(TERMS.name)
+
+
+# QUOTA on aqrp-retours, the third hypothesis: until its first round of reports
+# an instance that had just started took its region for the only one.
+def test_started_instance_leaves_the_other_regions_their_parts():
+    fraction = virtual_fleet.run(_start_alone_in_region)
+    assert 0.0 < fraction <= 1 / 3 + 1e-9
