Keep parts of a rate for silent instances, and end them with their lease

Cause: an instance that was cut off went on with its part of a rate for 1.3 s and then with 1/20 of it for as long as the cut lasted, and two that were cut off together with a whole part of their region, while the others divided the rate without them as soon as their reports were 2 s old. Change: a holder takes of its region's part what the instances that it hears are of those that are registered; both sides of a cut sum to one part. That right ends with the lease: an instance that cannot renew its own and hears less than half of the fleet gives out nothing. An instance that is asked in place of the holder has one instance's part until it knows that it is not cut off itself. A former holder that no longer has a record, since it is leaving, hands its holdings over by itself.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -188,7 +188,20 @@
             self._clock,
         )
         changes = HolderChanges(
-            self._record, self._rates, digest, self._peers, bus, self._clock
+            self._record,
+            self._rates,
+            digest,
+            holders,
+            self._peers,
+            bus,
+            self._clock,
+        )
+        self._registrar = Registrar(
+            self._store,
+            keys.instance_key(settings.instance),
+            msgspec.json.encode(self._record),
+            self._clock,
+            settings.store.min_lease_s,
         )
         self._reports = FleetReports(
             self._record,
@@ -198,6 +211,7 @@
             holders,
             changes,
             digest,
+            lambda: self._registrar.is_registered,
             TokenLog(self._metrics),
             self._clock,
             settings.full_mesh_max,
@@ -213,15 +227,7 @@
             self._reports.on_refused,
             self._clock,
         )
-        self._registrar = await stack.enter_async_context(
-            Registrar(
-                self._store,
-                keys.instance_key(settings.instance),
-                msgspec.json.encode(self._record),
-                self._clock,
-                settings.store.min_lease_s,
-            )
-        )
+        await stack.enter_async_context(self._registrar)
 
     async def _enter_requests(self, stack: contextlib.AsyncExitStack) -> None:
         """Enters the request path and the servers."""
--- a/src/radishmux/gateway/digest.py
+++ b/src/radishmux/gateway/digest.py
@@ -124,12 +124,12 @@
             )
         self._divide(now)
 
-    def holdings_of_dead(
+    def holdings_of_silent(
         self, holder: str, customers: Iterable[str], now: float
     ) -> list[MovedHolding]:
-        """Returns what is known of the holdings of a dead peer of the region.
+        """Returns what is known of the holdings of a peer that is dead or cut.
 
-        Its tokens are lost: it may have given out those of its last report.
+        Its demand goes on elsewhere; its tokens are lost, or it has them still.
         """
         found = []
         for customer in customers:
--- a/src/radishmux/gateway/holder_changes.py
+++ b/src/radishmux/gateway/holder_changes.py
@@ -1,7 +1,9 @@
 """Moves what token holders have when a region's holders change.
 
 The instance that a customer's tokens fall to asks the peers of its region to
-release what they hold of it, and goes on with their tokens and their demand.
+release what they hold of it, and goes on with their tokens and their demand. An
+instance that holds tokens which fall to a peer hands them over: the peer may
+not know of it, for example since it is leaving and has no record any more.
 Tokens are never given out twice, and the region's part of the rate goes on.
 """
 
@@ -17,7 +19,8 @@
 from radishmux.peer import messages
 from radishmux.peer.bus import PeerBus, Sender
 from radishmux.peer.link import PeerUnavailable
-from radishmux.share.fleet_rate import FleetRates
+from radishmux.share.fleet_rate import CONFIRM_S, FleetRates
+from radishmux.share.holders import TokenHolders
 from radishmux.share.holding import MovedHolding
 from radishmux.tasks import Background, repeat
 
@@ -36,6 +39,7 @@
         own: This instance's record.
         rates: What is held here.
         digest: Takes what peers have released.
+        holders: Tells whom tokens fall to.
         peers: Who lives.
         bus: Connections to the peers.
         clock: Monotonic time.
@@ -46,6 +50,7 @@
         own: InstanceRecord,
         rates: FleetRates,
         digest: Digest,
+        holders: TokenHolders,
         peers: Peers,
         bus: PeerBus,
         clock: Clock,
@@ -53,27 +58,27 @@
         self._own = own
         self._rates = rates
         self._digest = digest
+        self._holders = holders
         self._peers = peers
         self._bus = bus
         self._clock = clock
-        # Customers whose tokens fall to this instance, those whose holdings it
-        # has asked for, and those of which a peer holds something.
+        # Customers whose tokens fall to this instance, and those of them whose
+        # holdings it has asked for.
         self._designated: frozenset[str] = frozenset()
         self._taken: frozenset[str] = frozenset()
-        self._contested: frozenset[str] = frozenset()
         # Instance that each customer's holding was released to, and until when
         # questions go there.
         self._released: dict[str, tuple[str, float]] = {}
         self._wake = asyncio.Event()
         bus.handle(messages.HoldingRequest)(self._on_request)
+        bus.handle(messages.Holdings)(self._on_holdings)
 
     def set_designated(self, customers: frozenset[str]) -> None:
         """Sets the customers whose tokens fall to this instance."""
         self._designated = customers
         self._taken &= customers
-        self._contested = customers & self._rates.contested
         self._rates.set_held(self._taken)
-        if self._missing:
+        if self._missing or self._surplus:
             self._wake.set()
 
     def successor(self, customer: str) -> str | None:
@@ -94,15 +99,17 @@
         now = self._clock.now()
         moved = []
         for name, reply in zip(names, replies, strict=True):
-            if isinstance(reply, messages.HoldingReply):
+            if isinstance(reply, messages.Holdings):
                 moved += _decode(name, reply)
             elif isinstance(reply, PeerUnavailable) and reply.refused:
                 self._peers.refused(name, now)
-        for name in self._dead():
-            moved += self._digest.holdings_of_dead(name, customers, now)
+        for name in self._silent(now):
+            moved += self._digest.holdings_of_silent(name, customers, now)
         for customer in customers:
             self._released.pop(customer, None)
         self._digest.take_over(moved, now)
+        self._taken |= customers & self._designated
+        self._rates.set_held(self._taken)
 
     async def _run(self) -> None:
         await repeat(self._step, 0.0, "holder changes")
@@ -110,23 +117,42 @@
     async def _step(self) -> None:
         await self._wake.wait()
         self._wake.clear()
-        missing = self._missing
-        if missing:
-            await self.take_over(missing)
-            self._taken |= missing & self._designated
-            self._rates.set_held(self._taken)
+        if self._missing:
+            await self.take_over(self._missing)
+        for name, customers in self._surplus.items():
+            await self._hand_over(name, customers)
 
     @property
     def _missing(self) -> frozenset[str]:
         """Customers whose holdings are to be asked for."""
-        return (self._designated - self._taken) | self._contested
+        return self._designated - self._taken
 
-    def _dead(self) -> list[str]:
-        """Returns the peers of the region whose process is gone."""
+    @property
+    def _surplus(self) -> dict[str, list[str]]:
+        """Customers that are held here and fall to a peer that is heard."""
+        now = self._clock.now()
+        found: dict[str, list[str]] = {}
+        for customer in self._rates.held - self._designated:
+            name = self._holders.order(customer)[0]
+            if self._peers.heard_age_s(name, now) < CONFIRM_S:
+                found.setdefault(name, []).append(customer)
+        return found
+
+    async def _hand_over(self, name: str, customers: list[str]) -> None:
+        """Releases holdings to a peer that they fall to.
+
+        They are lost if it does not answer: it may have them.
+        """
+        message = self._release(frozenset(customers), name)
+        await self._bus.request(name, message, RELEASE_TIMEOUT_S)
+
+    def _silent(self, now: float) -> list[str]:
+        """Returns the peers of the region that do not answer any more."""
         return [
             name
             for name, record in self._peers.records.items()
-            if record.region == self._own.region and self._peers.is_gone(name)
+            if record.region == self._own.region
+            and not self._peers.is_reachable(name, now)
         ]
 
     def _near(self) -> list[str]:
@@ -140,16 +166,27 @@
         ]
 
     async def _on_request(self, message: Any, sender: Sender) -> Any:
-        """Releases what is held here to the next holder."""
+        """Releases what is held here to its next holder."""
+        return self._release(
+            frozenset(message.customers or ()), sender.instance
+        )
+
+    async def _on_holdings(self, message: Any, sender: Sender) -> Any:
+        """Takes what a peer has released to this instance."""
+        moved = _decode(sender.instance, message)
+        self._digest.take_over(moved, self._clock.now())
+        return messages.Done(accepted=True, reason="")
+
+    def _release(self, customers: frozenset[str], name: str) -> Any:
+        """Ends holdings here and returns what moves to a peer."""
         now = self._clock.now()
-        wanted = frozenset(message.customers or ())
-        moved = [self._rates.release(customer, now) for customer in wanted]
+        moved = [self._rates.release(customer, now) for customer in customers]
         until = now + SUCCESSOR_S
-        for customer in wanted:
-            self._released[customer] = (sender.instance, until)
-        self._taken -= wanted
+        for customer in customers:
+            self._released[customer] = (name, until)
+        self._taken -= customers
         self._rates.set_held(self._taken)
-        return messages.HoldingReply(
+        return messages.Holdings(
             holdings=[
                 messages.MovedHolding(
                     customer=one.customer,
@@ -163,7 +200,7 @@
         )
 
 
-def _decode(name: str, reply: Any) -> list[MovedHolding]:
+def _decode(name: str, message: Any) -> list[MovedHolding]:
     return [
         MovedHolding(
             one.customer,
@@ -172,5 +209,5 @@
             one.demand_per_s,
             one.counted_per_s,
         )
-        for one in reply.holdings or ()
+        for one in message.holdings or ()
     ]
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 
@@ -15,12 +16,12 @@
     ExchangePlan,
     exchange_plan,
 )
-from radishmux.membership.peers import Peers
+from radishmux.membership.peers import JOIN_GRACE_S, Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
 from radishmux.peer.bus import PeerBus, Sender
 from radishmux.peer.link import PeerUnavailable
-from radishmux.share.fleet_rate import FleetRates
+from radishmux.share.fleet_rate import FleetRates, Reach
 from radishmux.share.holders import TokenHolders
 from radishmux.tasks import repeat
 from radishmux.telemetry.logs import state_change
@@ -31,6 +32,10 @@
 REPLY_TIMEOUT_S = 1.0
 # A peer that should have asked by now is asked.
 _OVERDUE_PERIODS = 1.5
+# A peer that was not heard for this long may be cut off: one report and a
+# round trip between regions; more where reports come through a hub.
+_HEARD_PERIODS = 1.5
+_RELAYED_PERIODS = 2.6
 # Demands count for this many periods: what a hub passes on is up to two
 # periods old, and one report may be lost.
 _DEMAND_PERIODS = 4.0
@@ -52,6 +57,7 @@
         holders: Is told who may hold tokens.
         changes: Is told what falls to this instance.
         digest: Writes and reads the reports.
+        is_registered: Whether this instance's record is in the store.
         token_log: Is told what is held here.
         clock: Monotonic time.
         full_mesh_max: Up to this many instances, each is a hub.
@@ -66,6 +72,7 @@
         holders: TokenHolders,
         changes: HolderChanges,
         digest: Digest,
+        is_registered: Callable[[], bool],
         token_log: TokenLog,
         clock: Clock,
         full_mesh_max: int = FULL_MESH_MAX,
@@ -77,6 +84,8 @@
         self._holders = holders
         self._changes = changes
         self._digest = digest
+        self._is_registered = is_registered
+        self._entitled_until = clock.now() + JOIN_GRACE_S
         self._token_log = token_log
         self._clock = clock
         self._full_mesh_max = full_mesh_max
@@ -133,7 +142,7 @@
         now = self._clock.now()
         await self._set_addresses()
         self._set_plan(now)
-        self._set_fleet(now)
+        self._measure(now)
         if now < self._due_at:
             return
         # A large region's members report less often.
@@ -172,7 +181,10 @@
         self.update_members()
 
     def update_members(self) -> None:
-        """Tells the token holders who lives; call when that has changed."""
+        """Tells the rates and the token holders who takes part.
+
+        Called when that has changed; silence is noticed in the next round.
+        """
         now = self._clock.now()
         own = self._own
         near = {
@@ -186,9 +198,9 @@
         if not members or (has_joined and not self._digest.is_leaving):
             members.add(own.instance)
         lag = _MESH_LAG if self._plan.is_mesh else RELAYED_LAG
-        self._rates.set_fleet(
-            self._other_regions, len(self._peers.records) + 1, lag, now
-        )
+        self._rates.set_fleet(self._other_regions, lag, now)
+        self._rates.set_reach(self._reach(now), now)
+        self._rates.set_entitled(self._is_entitled(now), now)
         if self._holders.set_members(frozenset(members)):
             self._set_designated()
 
@@ -200,14 +212,61 @@
     def _set_designated(self) -> None:
         self._changes.set_designated(self._holders.held(self._rates.customers))
 
-    def _set_fleet(self, now: float) -> None:
-        """Tells the rates and the token holders who takes part."""
+    def _measure(self, now: float) -> None:
+        """Divides the rates by what is known now."""
         self.update_members()
-        self._rates.set_isolated(self._peers.is_isolated(now), now)
         self._set_designated()
-        self._digest.measure(self._other_regions, self._demand_age_s, now)
+        regions = self._other_regions
+        self._digest.measure(regions, self._demand_age_s, now)
         self._token_log.write(self._rates.holdings(now))
 
+    def _read(self, report: Any) -> None:
+        """Takes a report, and at once what it changes for token holders."""
+        before = self._standing(report.instance)
+        self._digest.read(report, self._plan.pace)
+        if self._standing(report.instance) != before:
+            self.update_members()
+
+    def _standing(self, name: str) -> tuple[bool, bool]:
+        now = self._clock.now()
+        peers = self._peers
+        return peers.is_usable(name, now), peers.is_heard(name, now)
+
+    def _reach(self, now: float) -> Reach:
+        """Returns how much of the region has been heard lately."""
+        periods = _HEARD_PERIODS if self._plan.is_mesh else _RELAYED_PERIODS
+        max_age_s = periods * self._period_s
+        peers = self._peers
+        # Peers that nobody has heard yet hold nothing, unless it is this
+        # instance that hears nobody. One that left has released what it held.
+        hears_peers = peers.heard_count(now) > 0
+        heard = silent = 0
+        for name, record in peers.records.items():
+            if record.region != self._own.region:
+                continue
+            if peers.heard_age_s(name, now) < max_age_s:
+                heard += 1
+            elif not (
+                peers.is_gone(name)
+                or peers.is_leaving(name)
+                or (hears_peers and peers.is_joining(name, now))
+            ):
+                silent += 1
+        return Reach(1 + heard, 1 + heard + silent)
+
+    def _is_entitled(self, now: float) -> bool:
+        """Whether other instances leave parts of customers' rates to this one.
+
+        They do while its record is in the store. If the store is out, nobody
+        can be dropped; most of the fleet is heard then. An instance that has
+        just started has not registered yet.
+        """
+        if self._is_registered() or now < self._entitled_until:
+            return True
+        followed = self._plan.followed
+        heard = sum(self._peers.is_heard(name, now) for name in followed)
+        return 2 * (1 + heard) > 1 + len(followed)
+
     def _start_exchange(self, name: str) -> None:
         if name in self._pending:
             return
@@ -233,8 +292,7 @@
             if reply.refused:
                 self.on_refused(name)
         elif isinstance(reply, messages.FleetReport):
-            self._digest.read(reply, self._plan.pace)
-        self.update_members()
+            self._read(reply)
         if wants_feed and getattr(reply, "feed", None) is None:
             self._feeder = self._hub_after(name)
             why = getattr(reply, "reason", "") or "it knows no more"
@@ -255,8 +313,7 @@
         return hubs[(hubs.index(name) + 1) % len(hubs)]
 
     async def _on_report(self, message: Any, sender: Sender) -> Any:
-        self._digest.read(message, self._plan.pace)
-        self.update_members()
+        self._read(message)
         record = self._peers.records.get(message.instance)
         region = record.region if record else ""
         if region != self._own.region:
--- a/src/radishmux/membership/peers.py
+++ b/src/radishmux/membership/peers.py
@@ -213,12 +213,26 @@
         peer = self._peers.get(name)
         return peer is not None and peer.is_gone
 
+    def is_leaving(self, name: str) -> bool:
+        """Whether a peer said in its latest report that it is leaving."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.is_leaving
+
     def is_reachable(self, name: str, now: float) -> bool:
         """Whether a peer may answer; it may be leaving."""
         peer = self._peers.get(name)
         if peer is None or peer.is_gone:
             return False
-        return self._is_joining(peer, now) or self.is_heard(name, now)
+        return self.is_joining(name, now) or self.is_heard(name, now)
+
+    def is_joining(self, name: str, now: float) -> bool:
+        """Whether a peer was registered lately and has not been heard yet."""
+        peer = self._peers.get(name)
+        return (
+            peer is not None
+            and peer.heard_at == -math.inf
+            and now - peer.since < JOIN_GRACE_S
+        )
 
     def heard_age_s(self, name: str, now: float) -> float:
         """Returns the seconds since a peer was heard; inf: never."""
@@ -229,12 +243,6 @@
         """Returns how many peers have been heard lately."""
         return sum(self.is_heard(name, now) for name in self._records)
 
-    def is_isolated(self, now: float) -> bool:
-        """Whether there are peers and none of them has been heard lately."""
-        return bool(self._records) and not any(
-            self.is_heard(name, now) for name in self._records
-        )
-
     def usable(self, now: float) -> list[InstanceRecord]:
         """Returns the records of the peers that callers may use."""
         return [
@@ -250,9 +258,5 @@
             return False
         if self._followed is not None and name not in self._followed:
             return True
-        is_joining = self._is_joining(peer, now)
+        is_joining = self.is_joining(name, now)
         return is_joining or now - peer.heard_at < self._silent_after_s
-
-    @staticmethod
-    def _is_joining(peer: _Peer, now: float) -> bool:
-        return peer.heard_at == -math.inf and now - peer.since < JOIN_GRACE_S
--- a/src/radishmux/membership/registrar.py
+++ b/src/radishmux/membership/registrar.py
@@ -42,6 +42,13 @@
         self._lease_s = max(LEASE_S, math.ceil(min_lease_s))
         self._lease_id = 0
         self._registered = False
+        self._renewed_at = -math.inf
+
+    @property
+    def is_registered(self) -> bool:
+        """Whether the record is in the store for certain."""
+        age_s = self._clock.now() - self._renewed_at
+        return self._registered and age_s < self._lease_s
 
     async def withdraw(self) -> None:
         """Removes the record; call when callers should go elsewhere."""
@@ -59,6 +66,7 @@
         await repeat(self._step, RENEW_PERIOD_S, "registration")
 
     async def _step(self) -> None:
+        asked_at = self._clock.now()
         if not self._lease_id:
             lease = await self._store.grant_lease(self._lease_s, CALL_TIMEOUT_S)
             if isinstance(lease, Unavailable):
@@ -72,7 +80,10 @@
             if kept <= 0:
                 state_change("registration", "lapsed", "WARNING")
                 self._lease_id = 0
+                self._registered = False
                 return await self._step()
+        # The lease runs from the arrival of the call, which is later.
+        self._renewed_at = asked_at
         if not self._registered:
             await self._register()
         return None
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -228,7 +228,9 @@
   4: double counted_per_s,
 }
 
-struct HoldingReply {
+// What the sender held and has released to the receiver: the reply to a
+// HoldingRequest, or a message of its own.
+struct Holdings {
   1: list<MovedHolding> holdings,
 }
 
@@ -256,7 +258,7 @@
   16: TokenRequest token_request,
   17: TokenGrant token_grant,
   18: HoldingRequest holding_request,
-  19: HoldingReply holding_reply,
+  19: Holdings holdings,
 }
 
 struct Envelope {
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -33,6 +33,9 @@
 # A holder that nobody takes to be one any more goes on for this long after the
 # latest question, since instances learn of changes one after the other.
 HOLD_S = 2.0
+# An instance that begins to hold tokens because it was asked may be cut off. It
+# knows so after this long without reports, see `gateway.reports`.
+CONFIRM_S = 0.75
 # Part of a bucket that is not given out ahead of demand: tokens that wait at
 # other instances come on top of the burst.
 AHEAD_RESERVE = 0.5
@@ -53,6 +56,20 @@
     demands: dict[str, dict[str, float]]
 
 
+class Reach(msgspec.Struct, frozen=True):
+    """How much of its region an instance hears.
+
+    Silent instances may live and give out tokens too; a part is left for them.
+
+    Attributes:
+        heard: Instances that are heard, this one included.
+        registered: Instances that are registered and not known to be dead.
+    """
+
+    heard: int
+    registered: int
+
+
 class _Share:
     """A customer's bucket at this instance.
 
@@ -64,6 +81,8 @@
             not have the newest ones yet.
         granted: Tokens that were given out.
         refused: Requests that got none.
+        unconfirmed_until: Monotonic time until which it is open whether peers
+            hear this instance.
         held_until: Monotonic time until which this instance is a holder;
             -inf: it is none, and the bucket is empty.
     """
@@ -76,6 +95,7 @@
         "refused",
         "terms",
         "told_per_s",
+        "unconfirmed_until",
     )
 
     def __init__(
@@ -91,6 +111,7 @@
         self.told_per_s: deque[float] = deque([0.0], maxlen=2)
         self.granted = 0
         self.refused = 0
+        self.unconfirmed_until = -math.inf
         self.held_until = -math.inf
 
     @property
@@ -129,8 +150,8 @@
         self._regions: dict[str, DemandReport | None] = {}
         # Other token holders of the own region.
         self._rivals = DemandReport({})
-        self._instances = 1
-        self._isolated = False
+        self._reach = Reach(1, 1)
+        self._is_entitled = True
 
     @property
     def customers(self) -> tuple[str, ...]:
@@ -153,9 +174,11 @@
             del self._shares[name]
 
     @property
-    def contested(self) -> frozenset[str]:
-        """Names of the customers that another instance of the region holds."""
-        return frozenset(self._rivals.demands)
+    def held(self) -> frozenset[str]:
+        """Names of the customers whose tokens are given out here."""
+        return frozenset(
+            name for name, share in self._shares.items() if share.is_held
+        )
 
     def is_held(self, customer: str) -> bool:
         """Whether a customer's tokens are given out here."""
@@ -236,32 +259,33 @@
             self._rivals = report
             self._divide(now)
 
-    def set_fleet(
-        self, regions: set[str], instances: int, lag: int, now: float
-    ) -> None:
+    def set_fleet(self, regions: set[str], lag: int, now: float) -> None:
         """Sets who takes part; a new region is silent at first.
 
         Args:
             regions: The other regions.
-            instances: Instances of the whole fleet.
             lag: Reports after which other regions know of growth.
             now: Monotonic seconds.
         """
-        for name in self._regions.keys() - regions:
-            del self._regions[name]
-        for name in regions - self._regions.keys():
-            self._regions[name] = None
-        self._instances = instances
+        if regions != self._regions.keys():
+            known = self._regions
+            self._regions = {name: known.get(name) for name in regions}
+            self._divide(now)
         if lag != self._lag:
             self._lag = lag
             for share in self._shares.values():
                 share.told_per_s = deque(share.told_per_s, maxlen=1 + lag)
-        self._divide(now)
 
-    def set_isolated(self, isolated: bool, now: float) -> None:
-        """Sets whether the peers may have divided without this instance."""
-        if isolated != self._isolated:
-            self._isolated = isolated
+    def set_reach(self, reach: Reach, now: float) -> None:
+        """Sets how many instances of the region are heard."""
+        if reach != self._reach:
+            self._reach = reach
+            self._divide(now)
+
+    def set_entitled(self, is_entitled: bool, now: float) -> None:
+        """Sets whether other instances keep parts of the rates for this one."""
+        if is_entitled != self._is_entitled:
+            self._is_entitled = is_entitled
             self._divide(now)
 
     def demand_per_s(self, customer: str, now: float) -> float:
@@ -333,6 +357,8 @@
         was_held = share.is_held
         share.held_until = max(share.held_until, now + HOLD_S)
         if not was_held:
+            if share.terms.name not in self._held:
+                share.unconfirmed_until = now + CONFIRM_S
             self._set_fraction(share, now)
 
     def _refresh_hold(self, share: _Share, now: float) -> None:
@@ -396,6 +422,10 @@
             else:
                 total += sum(others.values()) + idle * len(others)
         fraction = own / total if total > 0 else 1.0 / count
-        if self._isolated:
-            fraction = min(fraction, 1.0 / self._instances) / 2
+        if not self._is_entitled:
+            fraction = 0.0
+        elif now < share.unconfirmed_until:
+            fraction /= self._reach.registered
+        else:
+            fraction *= self._reach.heard / self._reach.registered
         share.bucket.set_fraction(fraction, now)
--- a/tests/gateway/test_digest.py
+++ b/tests/gateway/test_digest.py
@@ -208,7 +208,7 @@
         for region in "abc"
     }
     for node in fleet.nodes.values():
-        node.rates.set_fleet({"a", "b", "c"} - {node.record.region}, 30, 3, 0.0)
+        node.rates.set_fleet({"a", "b", "c"} - {node.record.region}, 3, 0.0)
     for region, node in holders.items():
         node.rates.set_held(frozenset({"c"}))
         assert node.record.region == region
@@ -229,7 +229,7 @@
     holders = [fleet.nodes[name] for name in ("i00", "i01", "i02", "i03")]
     assert [one.record.region for one in holders] == ["a", "b", "c", "a"]
     for node in fleet.nodes.values():
-        node.rates.set_fleet({"a", "b", "c"} - {node.record.region}, 10, 1, 0.0)
+        node.rates.set_fleet({"a", "b", "c"} - {node.record.region}, 1, 0.0)
     for node in holders:
         node.rates.set_held(frozenset({"c"}))
     for _ in range(12):
--- a/tests/gateway/test_holder_changes.py
+++ b/tests/gateway/test_holder_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from functools import partial
 
 import pytest
@@ -73,12 +74,12 @@
     assert is_only_holder
 
 
-async def _serve_through(loop, seed, rate_per_s, disturb):
+async def _serve_through(loop, seed, rate_per_s, seconds, disturb):
     fleet = virtual_fleet.VirtualFleet(loop, TERMS, seed)
     fleet.rate_per_s = rate_per_s
     await fleet.start_all()
     await asyncio.sleep(2.0)
-    calls = asyncio.create_task(fleet.call(20.0))
+    calls = asyncio.create_task(fleet.call(seconds))
     await asyncio.sleep(6.0)
     await disturb(fleet)
     await calls
@@ -97,10 +98,11 @@
 # Next holders began with a part of the burst and without the demand of the one
 # before, which kept its part for 2 s: too many tokens at once, then too few.
 @pytest.mark.parametrize(
-    ("disturb", "rate_per_s"), [(_roll, 100.0), (_kill_holder, 135.0)]
+    ("disturb", "rate_per_s", "seconds"),
+    [(_roll, 100.0, 60.0), (_kill_holder, 135.0, 20.0)],
 )
 def test_customer_within_its_rate_is_served_while_holders_change(
-    disturb, rate_per_s
+    disturb, rate_per_s, seconds
 ):
     for seed in (1, 2, 3):
         fleet = virtual_fleet.run(
@@ -108,6 +110,7 @@
                 _serve_through,
                 seed=seed,
                 rate_per_s=rate_per_s,
+                seconds=seconds,
                 disturb=disturb,
             )
         )
@@ -133,3 +136,32 @@
 def test_started_instance_leaves_the_other_regions_their_parts():
     fraction = virtual_fleet.run(_start_alone_in_region)
     assert 0.0 < fraction <= 1 / 3 + 1e-9
+
+
+async def _cut_beside_hot_customer(loop, seed):
+    fleet = virtual_fleet.VirtualFleet(loop, TERMS, seed)
+    rng = random.Random(seed)
+    fleet.rate_per_s = USUAL_PER_S
+    await fleet.start_all()
+    calls = asyncio.create_task(fleet.call(24.0))
+    await asyncio.sleep(6.0)
+    names = rng.sample(fleet.names, 5)
+    fleet.rate_per_s = HOT * USUAL_PER_S
+    async with asyncio.TaskGroup() as cuts:
+        for name in names:
+            seconds = rng.uniform(0.3, 10.0)
+            cuts.create_task(fleet.network.cut(name, seconds))
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+    await calls
+    return fleet
+
+
+# Instances that are cut off gave out parts of the rate which the others, after
+# a while, divided without them.
+def test_hot_customer_keeps_to_its_rate_while_instances_are_cut_off():
+    most = {}
+    for seed in SEEDS:
+        fleet = virtual_fleet.run(partial(_cut_beside_hot_customer, seed=seed))
+        most[seed] = fleet.most_in_window(WINDOW_S)
+    bound = allowed(TERMS, WINDOW_S)
+    assert {seed: n for seed, n in most.items() if n > bound} == {}
--- a/tests/gateway/test_token_log.py
+++ b/tests/gateway/test_token_log.py
@@ -23,7 +23,7 @@
         self.metrics = Metrics()
         self.log = TokenLog(self.metrics)
         self.rates = FleetRates(0.1, 20.0)
-        self.rates.set_fleet({"b"}, 2, 1, 0.0)
+        self.rates.set_fleet({"b"}, 1, 0.0)
         self.rates.set_customers((customer(rate_per_s=10.0, burst=10.0),), 0.0)
 
     def write(self, now):
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -34,6 +34,8 @@
 # next one, as on the users' bench.
 DRAIN_S = 2.2
 START_S = 0.9
+# The record of an instance that does not renew it is gone after this long.
+LEASE_S = 4.0
 # Time until a process that starts has read the store.
 LIST_S = 0.1
 # Callers keep an answer of the directory for this long.
@@ -80,14 +82,15 @@
     Attributes:
         running: Processes by instance.
         records: What the store has.
-        silent: Instances that no message reaches or leaves.
+        silent: Instances that are cut off from the others and the store, with
+            the time of the cut.
     """
 
     def __init__(self, loop):
         self.loop = loop
         self.running = {}
         self.records = {}
-        self.silent = set()
+        self.silent = {}
 
     def delay_s(self, a, b):
         same = a.record.region == b.record.region
@@ -101,9 +104,28 @@
         self.records.pop(name, None)
         self.loop.call_later(STORE_DELAY_S, self._tell)
 
+    def has_lease(self, node):
+        """Whether a process knows that its record is in the store."""
+        name = node.record.instance
+        cut_at = self.silent.get(name, self.loop.time())
+        is_kept = self.loop.time() < cut_at + LEASE_S
+        return is_kept and self.records.get(name) == node.record
+
+    async def cut(self, name, seconds):
+        """Cuts an instance off from the others and the store, then heals it."""
+        self.silent[name] = self.loop.time()
+        if seconds > LEASE_S:
+            await asyncio.sleep(LEASE_S)
+            self.remove_record(name)
+            seconds -= LEASE_S
+        await asyncio.sleep(seconds)
+        del self.silent[name]
+        if name in self.running:
+            self.put_record(self.running[name].record)
+
     def _tell(self):
-        for node in self.running.values():
-            if node.is_serving:
+        for name, node in self.running.items():
+            if node.is_serving and name not in self.silent:
                 node.read_records()
 
 
@@ -137,7 +159,7 @@
     async def _carry(self, name, message):
         if name not in self.node.peers.records:
             return PeerUnavailable("unknown instance")
-        if {name, self.instance} & self.network.silent:
+        if {name, self.instance} & self.network.silent.keys():
             await asyncio.sleep(3600)
         peer = self.network.running.get(name)
         if peer is None:
@@ -187,7 +209,13 @@
             self.clock,
         )
         self.changes = HolderChanges(
-            record, self.rates, digest, self.peers, self.bus, self.clock
+            record,
+            self.rates,
+            digest,
+            holders,
+            self.peers,
+            self.bus,
+            self.clock,
         )
         self.reports = FleetReports(
             record,
@@ -197,6 +225,7 @@
             holders,
             self.changes,
             digest,
+            lambda: network.has_lease(self),
             TokenLog(Metrics()),
             self.clock,
         )
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -83,13 +83,20 @@
     assert "x" not in peers.records
 
 
-def test_isolation_needs_peers():
-    alone = Peers(record("own"))
-    assert not alone.is_isolated(0.0)
+def test_peer_that_leaves_is_reachable_and_one_that_fell_silent_is_not():
+    """What a leaving instance holds can be asked for; see holder_changes."""
     peers = make()
-    assert peers.is_isolated(10.0)
-    peers.heard("x", 1, False, 10.0)
-    assert not peers.is_isolated(10.1)
+    assert peers.is_joining("x", 0.1)
+    assert peers.is_reachable("x", 0.1)
+    peers.heard("x", 1, True, 10.0)
+    assert not peers.is_joining("x", 10.1)
+    assert not peers.is_usable("x", 10.1)
+    assert peers.is_reachable("x", 10.1)
+    assert not peers.is_reachable("x", 10.0 + SILENT_AFTER_S + 0.1)
+    peers.refused("x", 10.2)
+    assert peers.is_gone("x")
+    assert not peers.is_reachable("x", 10.3)
+    assert not peers.is_reachable("nobody", 10.0)
 
 
 def test_callers_are_sent_to_the_nearest_instances():
--- a/tests/share/test_fleet_rate.py
+++ b/tests/share/test_fleet_rate.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from radishmux.gateway.reports import RELAYED_LAG
-from radishmux.share.fleet_rate import HOLD_S, FleetRates
+from radishmux.share.fleet_rate import HOLD_S, FleetRates, Reach
 from tests.gateway.parts import customer
 
 REPORT_S = 0.5
@@ -33,7 +33,7 @@
         self.under_way = []
         self.nodes = {f"i{n}": FleetRates(0.1, slack) for n in range(count)}
         for name, node in self.nodes.items():
-            node.set_fleet(set(self.nodes) - {name}, count, lag, 0.0)
+            node.set_fleet(set(self.nodes) - {name}, lag, 0.0)
             node.set_customers((terms,), 0.0)
             node.set_held(frozenset({terms.name}))
 
@@ -133,14 +133,25 @@
     assert len(counted) >= 0.95 * wanted
 
 
-def test_isolated_instance_takes_less_than_an_even_part():
+def test_isolated_instance_takes_an_even_part_and_without_a_lease_none():
+    """The others leave it that part while its record is in the store."""
     terms = customer(rate_per_s=100.0, burst=100.0)
-    fleet = Fleet(10, terms)
-    node = fleet.nodes["i0"]
-    for name in fleet.nodes.keys() - {"i0"}:
-        node.take_report(name, None, 0.0)
-    node.set_isolated(True, 0.0)
-    assert node.fraction("c") <= 0.1
+    node = Fleet(3, terms).nodes["i0"]
+    node.report(0.0)
+    node.set_reach(Reach(heard=1, registered=4), 0.0)
+    assert node.fraction("c") == pytest.approx(1 / 12)
+    node.set_entitled(False, 0.0)
+    assert node.fraction("c") == 0.0
+
+
+def test_both_sides_of_a_cut_region_share_its_part():
+    """Neither side hears of the other's holder."""
+    terms = customer(rate_per_s=100.0, burst=100.0)
+    sides = [Fleet(3, terms).nodes["i0"] for _ in range(2)]
+    for node, heard in zip(sides, (3, 1), strict=True):
+        node.report(0.0)
+        node.set_reach(Reach(heard, registered=4), 0.0)
+    assert sum(one.fraction("c") for one in sides) <= 1 / 3 + 1e-9
 
 
 @given(st.floats(0.0, 50.0), st.integers(1, 30))
