--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -187,6 +187,8 @@
         """
         now = self._clock.now()
         own = self._own
+        for name, record in self._peers.records.items():
+            self._bus.learn(name, record.peer_address)
         near = {
             name
             for name, record in self._peers.records.items()
--- a/src/radishmux/peer/bus.py
+++ b/src/radishmux/peer/bus.py
@@ -92,6 +92,10 @@
 
         return decorate
 
+    def learn(self, instance: str, address: str) -> None:
+        """Takes the control address of a peer that is not known yet."""
+        self._addresses.setdefault(instance, address)
+
     async def set_address(self, instance: str, address: str | None) -> None:
         """Sets or, with None, forgets the control address of a peer."""
         if self._addresses.get(instance) == address:
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -137,7 +137,7 @@
         self.node = node
         self.instance = node.record.instance
         self.handlers = {}
-        self.peers = ()
+        self.addresses = {}
 
     def handle(self, kind):
         def decorate(handler):
@@ -146,8 +146,18 @@
 
         return decorate
 
+    @property
+    def peers(self):
+        return tuple(self.addresses)
+
+    def learn(self, name, address):
+        self.addresses.setdefault(name, address)
+
     async def set_address(self, name, address):
-        pass
+        if address is None:
+            self.addresses.pop(name, None)
+        else:
+            self.addresses[name] = address
 
     async def request(self, name, message, timeout_s):
         try:
@@ -157,7 +167,7 @@
             return PeerUnavailable("timeout")
 
     async def _carry(self, name, message):
-        if name not in self.node.peers.records:
+        if name not in self.addresses:
             return PeerUnavailable("unknown instance")
         if {name, self.instance} & self.network.silent.keys():
             await asyncio.sleep(3600)
@@ -314,7 +324,7 @@
             region=name[0],
             failure_domain=f"{name[0]}-1",
             caller_address="",
-            peer_address="",
+            peer_address=name,
         )
         await Node(self.network, record, (self.terms,)).start()
 
