Move the division of rates into a module of its own

Change: share/division.py has RateDivision, which knows the other holders and computes one fraction, and the reports that it takes. No decision is changed.

--- a/src/radishmux/gateway/digest.py
+++ b/src/radishmux/gateway/digest.py
@@ -16,7 +16,8 @@
 from radishmux.membership.peers import MemberNews, Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
-from radishmux.share.fleet_rate import DemandReport, FleetRates
+from radishmux.share.division import DemandReport
+from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holding import MovedHolding
 from radishmux.share.region_demands import RegionDemand, RegionDemands
 from radishmux.shift.evidence import Evidence, Tallies, Tally
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -21,7 +21,8 @@
 from radishmux.peer import messages
 from radishmux.peer.bus import PeerBus, Sender
 from radishmux.peer.link import PeerUnavailable
-from radishmux.share.fleet_rate import FleetRates, Reach
+from radishmux.share.division import Reach
+from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holders import TokenHolders
 from radishmux.tasks import repeat
 from radishmux.telemetry.logs import state_change
--- a/src/radishmux/share/fleet_rate.py
+++ b/src/radishmux/share/fleet_rate.py
@@ -14,16 +14,12 @@
 from collections import deque
 from collections.abc import Iterable
 
-import msgspec
-
 from radishmux.config.routing import CustomerTerms
 from radishmux.share.bucket import FractionBucket
 from radishmux.share.demand import DemandMeter
+from radishmux.share.division import DemandReport, RateDivision, Reach
 from radishmux.share.holding import Holding, MovedHolding
 
-# Demand that every region is taken to have, as part of the customer's rate
-# divided by the regions, so that callers who arrive find something.
-IDLE_PART = 0.5
 # Part of the operators' overrun that is divided too.
 OVERRUN_USED = 0.8
 # Part of the operators' slack that is divided as tokens which a bucket may
@@ -45,31 +41,6 @@
 _ROUNDING = 1e-9
 
 
-class DemandReport(msgspec.Struct, frozen=True):
-    """Demand in one region.
-
-    Attributes:
-        demands: Requests per second by customer and token holder, refused ones
-            included; a customer whose demand is not known is missing.
-    """
-
-    demands: dict[str, dict[str, float]]
-
-
-class Reach(msgspec.Struct, frozen=True):
-    """How much of its region an instance hears.
-
-    Silent instances may live and give out tokens too; a part is left for them.
-
-    Attributes:
-        heard: Instances that are heard, this one included.
-        registered: Instances that are registered and not known to be dead.
-    """
-
-    heard: int
-    registered: int
-
-
 class _Share:
     """A customer's bucket at this instance.
 
@@ -146,12 +117,7 @@
         self._held: frozenset[str] = frozenset()
         # Reports after which others know of growth.
         self._lag = 1
-        # None: the region is silent, and may have any demand.
-        self._regions: dict[str, DemandReport | None] = {}
-        # Other token holders of the own region.
-        self._rivals = DemandReport({})
-        self._reach = Reach(1, 1)
-        self._is_entitled = True
+        self._division = RateDivision()
 
     @property
     def customers(self) -> tuple[str, ...]:
@@ -249,14 +215,12 @@
         self, region: str, report: DemandReport | None, now: float
     ) -> None:
         """Takes another region's demand; None: nothing was heard of it."""
-        if region in self._regions:
-            self._regions[region] = report
+        if self._division.take_report(region, report):
             self._divide(now)
 
     def take_rivals(self, report: DemandReport, now: float) -> None:
         """Takes the demand at other token holders of the own region."""
-        if report != self._rivals:
-            self._rivals = report
+        if self._division.take_rivals(report):
             self._divide(now)
 
     def set_fleet(self, regions: set[str], lag: int, now: float) -> None:
@@ -267,9 +231,7 @@
             lag: Reports after which other regions know of growth.
             now: Monotonic seconds.
         """
-        if regions != self._regions.keys():
-            known = self._regions
-            self._regions = {name: known.get(name) for name in regions}
+        if self._division.set_regions(regions):
             self._divide(now)
         if lag != self._lag:
             self._lag = lag
@@ -278,14 +240,12 @@
 
     def set_reach(self, reach: Reach, now: float) -> None:
         """Sets how many instances of the region are heard."""
-        if reach != self._reach:
-            self._reach = reach
+        if self._division.set_reach(reach):
             self._divide(now)
 
     def set_entitled(self, is_entitled: bool, now: float) -> None:
         """Sets whether other instances keep parts of the rates for this one."""
-        if is_entitled != self._is_entitled:
-            self._is_entitled = is_entitled
+        if self._division.set_entitled(is_entitled):
             self._divide(now)
 
     def demand_per_s(self, customer: str, now: float) -> float:
@@ -337,11 +297,8 @@
                 share.bucket.fraction,
                 share.bucket.tokens,
                 share.demand.rate_per_s(now),
-                self._rivals.demands.get(name, {}),
-                {
-                    region: report.demands.get(name) if report else None
-                    for region, report in self._regions.items()
-                },
+                self._division.rivals(name),
+                self._division.others(name),
                 share.granted,
                 share.refused,
             )
@@ -388,7 +345,7 @@
 
     @property
     def _least_tokens(self) -> float:
-        return SLACK_USED * self._slack / (len(self._regions) + 1)
+        return SLACK_USED * self._slack / self._division.regions
 
     def _divided_rate(self, customer: CustomerTerms) -> float:
         """Returns the rate that is divided.
@@ -407,25 +364,8 @@
         if not share.is_held:
             share.bucket.set_fraction(0.0, now)
             return
-        name = share.terms.name
-        count = len(self._regions) + 1
         share.bucket.set_least_capacity(self._least_tokens, now)
-        idle = IDLE_PART * share.terms.rate_per_s / count
-        own = idle + min(share.told_per_s)
-        total = own
-        for demand in self._rivals.demands.get(name, {}).values():
-            total += demand + idle
-        for report in self._regions.values():
-            others = None if report is None else report.demands.get(name)
-            if others is None:
-                total += own
-            else:
-                total += sum(others.values()) + idle * len(others)
-        fraction = own / total if total > 0 else 1.0 / count
-        if not self._is_entitled:
-            fraction = 0.0
-        elif now < share.unconfirmed_until:
-            fraction /= self._reach.registered
-        else:
-            fraction *= self._reach.heard / self._reach.registered
+        fraction = self._division.fraction(
+            share.terms, min(share.told_per_s), now >= share.unconfirmed_until
+        )
         share.bucket.set_fraction(fraction, now)
--- a/src/radishmux/share/region_demands.py
+++ b/src/radishmux/share/region_demands.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from radishmux.share.fleet_rate import DemandReport
+from radishmux.share.division import DemandReport
 
 
 class RegionDemand:
--- a/tests/share/test_fleet_rate.py
+++ b/tests/share/test_fleet_rate.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from radishmux.gateway.reports import RELAYED_LAG
-from radishmux.share.fleet_rate import HOLD_S, FleetRates, Reach
+from radishmux.share.division import Reach
+from radishmux.share.fleet_rate import HOLD_S, FleetRates
 from tests.gateway.parts import customer
 
 REPORT_S = 0.5
