Enable log lines in the tests that read them

Cause: a whole run of the suite failed in tests/gateway/test_token_log.py, which passes alone: bench.virtual_fleet, used by tests of loans in the same process, disables the product's log lines. Change: the fixture enables them. Result: the module passes after tests/test_share_refusals.py and tests/test_share_invariant.py in one process.

--- a/tests/gateway/test_token_log.py
+++ b/tests/gateway/test_token_log.py
@@ -6,6 +6,7 @@
 import json
 
 import pytest
+from loguru import logger
 
 from radishmux.gateway.token_log import TokenLog
 from radishmux.settings.daemon import LogFormat, LogSettings
@@ -39,6 +40,8 @@
 @pytest.fixture
 def journal():
     stream = io.StringIO()
+    # Simulations in other tests of the same process silence the product.
+    logger.enable("radishmux")
     logs.configure(LogSettings(format=LogFormat.JSON), "i", "a", stream)
     return Journal(stream)
 
