--- a/tests/gateway/test_holder_changes.py
+++ b/tests/gateway/test_holder_changes.py
@@ -138,6 +138,29 @@
     assert 0.0 < fraction <= 1 / 3 + 1e-9
 
 
+async def _restart_all(fleet):
+    for node in list(fleet.network.running.values()):
+        await node.kill()
+    await asyncio.sleep(virtual_fleet.START_S)
+    await fleet.start_all()
+
+
+# Buckets are empty after a restart of the whole fleet, while callers who have
+# waited for it come at once.
+def test_customer_within_its_rate_is_served_after_a_restart_of_all():
+    fleet = virtual_fleet.run(
+        partial(
+            _serve_through,
+            seed=1,
+            rate_per_s=100.0,
+            seconds=60.0,
+            disturb=_restart_all,
+        )
+    )
+    sent = len(fleet.admitted) + len(fleet.refused)
+    assert len(fleet.refused) < MAX_REFUSED_SHARE * sent
+
+
 async def _cut_beside_hot_customer(loop, seed):
     fleet = virtual_fleet.VirtualFleet(loop, TERMS, seed)
     rng = random.Random(seed)
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -40,6 +40,8 @@
 LIST_S = 0.1
 # Callers keep an answer of the directory for this long.
 LOOKUP_TTL_S = 1.0
+# Callers that reach no instance of their region try again for this long.
+CALLER_DEADLINE_S = 2.0
 
 
 class _Selector(selectors.DefaultSelector):
@@ -369,8 +371,28 @@
                 if serving:
                     node = self.rng.choice(serving)
                     group.create_task(self._request(node, is_first=True))
+                elif not self._serving(region):
+                    group.create_task(self._request_later(region))
                 await asyncio.sleep(self.rng.expovariate(self.rate_per_s))
 
+    def _serving(self, region):
+        return [
+            node
+            for node in self.network.running.values()
+            if node.is_serving and node.record.region == region
+        ]
+
+    async def _request_later(self, region):
+        """Sends a request once its region is back, as waiting callers do."""
+        end = self.loop.time() + CALLER_DEADLINE_S
+        while self.loop.time() < end:
+            await asyncio.sleep(self.rng.uniform(0.1, 0.3))
+            serving = self._serving(region)
+            if serving:
+                node = self.rng.choice(serving)
+                return await self._request(node, is_first=True)
+        return None
+
     def _directory(self):
         found = {region: [] for region in "abc"}
         for node in self.network.running.values():
