--- a/tests/gateway/test_holder_changes.py
+++ b/tests/gateway/test_holder_changes.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.gateway import virtual_fleet
+from tests.gateway import virtual_fleet, virtual_loop
 from tests.gateway.parts import customer
 from tests.share.test_fleet_rate import allowed
 
@@ -42,7 +42,7 @@
 def test_hot_customer_keeps_to_its_rate_while_instances_restart():
     most = {}
     for seed in SEEDS:
-        fleet = virtual_fleet.run(partial(_roll_with_hot_customer, seed=seed))
+        fleet = virtual_loop.run(partial(_roll_with_hot_customer, seed=seed))
         most[seed] = fleet.most_in_window(WINDOW_S)
     bound = allowed(TERMS, WINDOW_S)
     assert {seed: n for seed, n in most.items() if n > bound} == {}
@@ -69,7 +69,7 @@
 # QUOTA on aqrp-retours: an instance that had just started knew no peer, took
 # itself for the holder and gave out a part of the rate that others gave out.
 def test_started_instance_leaves_tokens_to_the_holder_that_there_is():
-    grants, is_only_holder = virtual_fleet.run(_start_beside_holder)
+    grants, is_only_holder = virtual_loop.run(_start_beside_holder)
     assert grants == [None] * 5
     assert is_only_holder
 
@@ -105,7 +105,7 @@
     disturb, rate_per_s, seconds
 ):
     for seed in (1, 2, 3):
-        fleet = virtual_fleet.run(
+        fleet = virtual_loop.run(
             partial(
                 _serve_through,
                 seed=seed,
@@ -134,7 +134,7 @@
 # QUOTA on aqrp-retours, the third hypothesis: until its first round of reports
 # an instance that had just started took its region for the only one.
 def test_started_instance_leaves_the_other_regions_their_parts():
-    fraction = virtual_fleet.run(_start_alone_in_region)
+    fraction = virtual_loop.run(_start_alone_in_region)
     assert 0.0 < fraction <= 1 / 3 + 1e-9
 
 
@@ -148,7 +148,7 @@
 # Buckets are empty after a restart of the whole fleet, while callers who have
 # waited for it come at once.
 def test_customer_within_its_rate_is_served_after_a_restart_of_all():
-    fleet = virtual_fleet.run(
+    fleet = virtual_loop.run(
         partial(
             _serve_through,
             seed=1,
@@ -184,7 +184,7 @@
 def test_hot_customer_keeps_to_its_rate_while_instances_are_cut_off():
     most = {}
     for seed in SEEDS:
-        fleet = virtual_fleet.run(partial(_cut_beside_hot_customer, seed=seed))
+        fleet = virtual_loop.run(partial(_cut_beside_hot_customer, seed=seed))
         most[seed] = fleet.most_in_window(WINDOW_S)
     bound = allowed(TERMS, WINDOW_S)
     assert {seed: n for seed, n in most.items() if n > bound} == {}
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -1,7 +1,8 @@
 """Gateways' parts that hold customers' rates, in virtual time.
 
 The parts are those of the daemon, wired as in `gateway.app`; the network, the
-store and the callers are simulated. A run is repeatable, and a second of it
+store and the callers are simulated. A run differs from another of the same seed
+in the order of sets only, and a second of it
 takes some milliseconds.
 """
 
@@ -10,7 +11,6 @@
 import asyncio
 import heapq
 import random
-import selectors
 
 from radishmux.gateway.allowance import Allowance
 from radishmux.gateway.digest import Digest
@@ -19,23 +19,15 @@
 from radishmux.gateway.token_log import TokenLog
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
-from radishmux.peer.bus import Sender
-from radishmux.peer.link import PeerUnavailable
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holders import TokenHolders
 from radishmux.telemetry.metrics import Metrics
+from tests.gateway.virtual_network import Network, VirtualBus
 
-# One-way delays of the users' networks, in seconds.
-IN_REGION_S = 0.001
-BETWEEN_REGIONS_S = 0.055
-# Time until an instance hears of a change in the store.
-STORE_DELAY_S = 0.02
 # Time from SIGTERM to the end of a process, and from there to the start of the
 # next one, as on the users' bench.
 DRAIN_S = 2.2
 START_S = 0.9
-# The record of an instance that does not renew it is gone after this long.
-LEASE_S = 4.0
 # Time until a process that starts has read the store.
 LIST_S = 0.1
 # Callers keep an answer of the directory for this long.
@@ -44,149 +36,6 @@
 CALLER_DEADLINE_S = 2.0
 
 
-class _Selector(selectors.DefaultSelector):
-    """Lets virtual time pass where a real loop would wait."""
-
-    def __init__(self):
-        super().__init__()
-        self.now_s = 0.0
-
-    def select(self, timeout=None):
-        assert timeout is not None, "nothing is due any more"
-        self.now_s += max(0.0, timeout)
-        return super().select(0)
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer."""
-
-    def __init__(self):
-        self.selector = _Selector()
-        super().__init__(self.selector)
-
-    def time(self):
-        return self.selector.now_s
-
-    def now(self):
-        """Returns the time as a `radishmux.clock.Clock` does."""
-        return self.selector.now_s
-
-
-def run(main):
-    """Runs a coroutine function that takes the loop, in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main(runner.get_loop()))
-
-
-class Network:
-    """Carries messages between the processes that run, and their records.
-
-    Attributes:
-        running: Processes by instance.
-        records: What the store has.
-        silent: Instances that are cut off from the others and the store, with
-            the time of the cut.
-    """
-
-    def __init__(self, loop):
-        self.loop = loop
-        self.running = {}
-        self.records = {}
-        self.silent = {}
-
-    def delay_s(self, a, b):
-        same = a.record.region == b.record.region
-        return IN_REGION_S if same else BETWEEN_REGIONS_S
-
-    def put_record(self, record):
-        self.records[record.instance] = record
-        self.loop.call_later(STORE_DELAY_S, self._tell)
-
-    def remove_record(self, name):
-        self.records.pop(name, None)
-        self.loop.call_later(STORE_DELAY_S, self._tell)
-
-    def has_lease(self, node):
-        """Whether a process knows that its record is in the store."""
-        name = node.record.instance
-        cut_at = self.silent.get(name, self.loop.time())
-        is_kept = self.loop.time() < cut_at + LEASE_S
-        return is_kept and self.records.get(name) == node.record
-
-    async def cut(self, name, seconds):
-        """Cuts an instance off from the others and the store, then heals it."""
-        self.silent[name] = self.loop.time()
-        if seconds > LEASE_S:
-            await asyncio.sleep(LEASE_S)
-            self.remove_record(name)
-            seconds -= LEASE_S
-        await asyncio.sleep(seconds)
-        del self.silent[name]
-        if name in self.running:
-            self.put_record(self.running[name].record)
-
-    def _tell(self):
-        for name, node in self.running.items():
-            if node.is_serving and name not in self.silent:
-                node.read_records()
-
-
-class _Bus:
-    """The part of `peer.bus.PeerBus` that is used here."""
-
-    def __init__(self, network, node):
-        self.network = network
-        self.node = node
-        self.instance = node.record.instance
-        self.handlers = {}
-        self.addresses = {}
-
-    def handle(self, kind):
-        def decorate(handler):
-            self.handlers[kind] = handler
-            return handler
-
-        return decorate
-
-    @property
-    def peers(self):
-        return tuple(self.addresses)
-
-    def learn(self, name, address):
-        self.addresses.setdefault(name, address)
-
-    async def set_address(self, name, address):
-        if address is None:
-            self.addresses.pop(name, None)
-        else:
-            self.addresses[name] = address
-
-    async def request(self, name, message, timeout_s):
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._carry(name, message)
-        except TimeoutError:
-            return PeerUnavailable("timeout")
-
-    async def _carry(self, name, message):
-        if name not in self.addresses:
-            return PeerUnavailable("unknown instance")
-        if {name, self.instance} & self.network.silent.keys():
-            await asyncio.sleep(3600)
-        peer = self.network.running.get(name)
-        if peer is None:
-            await asyncio.sleep(IN_REGION_S)
-            return PeerUnavailable("connection refused", refused=True)
-        delay_s = self.network.delay_s(self.node, peer)
-        await asyncio.sleep(delay_s)
-        if self.network.running.get(name) is not peer:
-            return PeerUnavailable("connection lost")
-        sender = Sender(self.instance, self.node.record.incarnation)
-        reply = await peer.bus.handlers[type(message)](message, sender)
-        await asyncio.sleep(delay_s)
-        return reply
-
-
 class _Rollouts:
     active = {}
 
@@ -209,7 +58,7 @@
         self.is_serving = False
         self.peers = Peers(record)
         self.rates = FleetRates(0.1, 20.0, record.instance)
-        self.bus = _Bus(network, self)
+        self.bus = VirtualBus(network, self)
         holders = TokenHolders(record.instance)
         digest = Digest(
             record,
