Read the limits that backend servers name, and log them

Cause looked for: whether instances do not read the limit, keep to it one by one, or do not all know it. No log line or metric told what a server had named or when an instance learned it. Nothing is sent differently yet. A limit that cannot be read changes nothing; only a response that ran and was not altered shows that there is none any more.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -40,6 +40,7 @@
 from radishmux.settings.gateway import GatewaySettings
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holders import TokenHolders
+from radishmux.share.server_limits import ServerLimits
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.directory import LOOKUP_TTL_S, nearest
 from radishmux.steer.placement import Placement
@@ -164,6 +165,7 @@
             settings.instance,
         )
         self._cold_limiter = ColdRateLimiter(settings.instance)
+        self._limits = ServerLimits()
         self._retry_budgets = RetryBudgets(settings.bounds)
         self._rollouts = await stack.enter_async_context(
             Rollouts(
@@ -254,6 +256,7 @@
             self._fleet,
             placement,
             self._cold_limiter,
+            self._limits,
             self._rollouts,
             dialect,
             clock,
@@ -320,6 +323,7 @@
         metrics.set("gateway_store_contact_age_seconds", age_s)
         servers = sum(1 for _ in self._fleet.servers.all())
         metrics.set("gateway_servers", servers)
+        metrics.set("gateway_servers_limited", self._limits.limited_count)
         routes = self._fleet.routes
         problems = routes.configuration.problems if routes else ()
         metrics.set("gateway_configuration_problems", len(problems))
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -85,21 +85,33 @@
         is_authentic: Whether the response has the server's signature and a
             request id, and was not altered on the way.
         load: Load that the server reports, or None.
+        limit_per_s: Requests per second that the server accepts from all
+            instances together; inf if it names no limit, None if the limit
+            cannot be read.
     """
 
-    __slots__ = ("is_authentic", "load", "misdirected", "verdict")
+    __slots__ = (
+        "is_authentic",
+        "limit_per_s",
+        "load",
+        "misdirected",
+        "verdict",
+    )
 
     def __init__(
         self,
+        *,
         verdict: Verdict,
         misdirected: bool,
         is_authentic: bool,
         load: LoadReport | None,
+        limit_per_s: float | None,
     ) -> None:
         self.verdict = verdict
         self.misdirected = misdirected
         self.is_authentic = is_authentic
         self.load = load
+        self.limit_per_s = limit_per_s
 
 
 class Dialect(Protocol):
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -12,7 +12,9 @@
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
 from radishmux.gateway.call import Call, Dialect, ExecutionReport
 from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.limit_log import LimitLog
 from radishmux.gateway.rollouts import Rollouts
+from radishmux.share.server_limits import ServerLimits
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_state import LoadReport
@@ -66,6 +68,7 @@
         fleet: The servers and the configuration.
         placement: Holds the observed states and work times of servers.
         cold_limiter: Bounds the requests to cold servers.
+        limits: Limits that servers name in their responses.
         rollouts: Collects the outcomes of each version.
         dialect: Translates the headers of servers.
         clock: Monotonic time.
@@ -77,6 +80,7 @@
         fleet: FleetState,
         placement: Placement,
         cold_limiter: ColdRateLimiter,
+        limits: ServerLimits,
         rollouts: Rollouts,
         dialect: Dialect,
         clock: Clock,
@@ -86,6 +90,8 @@
         self._fleet = fleet
         self._placement = placement
         self._cold_limiter = cold_limiter
+        self._limits = limits
+        self._limit_log = LimitLog()
         self._rollouts = rollouts
         self._dialect = dialect
         self._clock = clock
@@ -107,6 +113,8 @@
         for connections in self._connections.values():
             connections.close_expired()
         self._placement.retain_only(names)
+        self._limits.retain_only(names)
+        self._limit_log.retain_only(names)
 
     async def send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         """Sends a request once.
@@ -150,6 +158,7 @@
         report = self._dialect.read_report(outcome)
         if report.load is not None:
             server_state.apply_load_report(report.load, now)
+        self._record_limit(server, report, now)
         if report.verdict is Verdict.NOT_RUN:
             return self._record_not_run(server, report, outcome, now)
         if outcome.status < 400 and not report.is_authentic:
@@ -243,6 +252,22 @@
             cold_until = now + terms.cold_start_s
             server.cold_until = max(server.cold_until, cold_until)
 
+    def _record_limit(
+        self, server: Server, report: ExecutionReport, now: float
+    ) -> None:
+        """Records the limit that a server names in a response.
+
+        Only a response that ran and was not altered shows that the server
+        names no limit any more.
+        """
+        limit_per_s = report.limit_per_s
+        if limit_per_s is None or report.misdirected:
+            return
+        if limit_per_s == math.inf and not report.is_authentic:
+            return
+        if self._limits.observe(server.name, limit_per_s, now):
+            self._limit_log.write(server.name, limit_per_s)
+
     def _record_not_run(
         self,
         server: Server,
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -22,6 +22,7 @@
 SEAL = "server-seal"
 NOT_EXECUTED = "not-executed"
 LOAD = "server-load"
+LIMIT = "server-limit"
 # Headers that are not copied from a caller to a backend server, because only
 # this system may set them there.
 _RESERVED_HEADERS = frozenset({KEY, DEADLINE, TARGET, CUSTOMER})
@@ -44,7 +45,7 @@
         elif name == AFFINITY:
             affinity = value
         elif name == DEADLINE:
-            deadline_ms = _parse_duration(value)
+            deadline_ms = _parse_number(value)
             if deadline_ms is None:
                 return Unavailable("deadline is no duration")
     if not host:
@@ -66,13 +67,13 @@
     )
 
 
-def _parse_duration(value: str) -> float | None:
-    """Returns a finite duration of 0 or more, in the unit of the text."""
+def _parse_number(value: str) -> float | None:
+    """Returns a finite number of 0 or more, or None if the text is not one."""
     try:
-        duration = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return duration if math.isfinite(duration) and duration >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def encode_request(
@@ -129,6 +130,7 @@
         and response.header(REQUEST_ID) is not None
         and response.header("content-encoding") is None,
         load=_parse_load(response),
+        limit_per_s=_parse_limit(response),
     )
 
 
@@ -143,6 +145,11 @@
     return LoadReport(running, waiting, slots)
 
 
+def _parse_limit(response: ServerResponse) -> float | None:
+    value = response.header(LIMIT)
+    return math.inf if value is None else _parse_number(value)
+
+
 def encode_answer(response: ServerResponse) -> Response:
     """Converts a backend server's response to the one for the caller."""
     headers = [
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -144,6 +144,10 @@
     _gauge("gateway_store_calls", "Calls to the store since the start."),
     _gauge("gateway_store_contact_age_seconds", "Age of the store's answer."),
     _gauge("gateway_servers", "Backend servers known."),
+    _gauge(
+        "gateway_servers_limited",
+        "Backend servers that name a limit, as far as known here.",
+    ),
     _gauge(
         "gateway_configuration_problems",
         "Values of the configuration that were withheld or replaced.",
--- a/tests/gateway/test_dialect.py
+++ b/tests/gateway/test_dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from radishmux.dispatch.server_response import ServerResponse
@@ -89,3 +91,20 @@
     response = ServerResponse(200, [("server-load", value)], b"")
     load = dialect.read_report(response).load
     assert (load is not None) == (value == "3,1,6")
+
+
+@pytest.mark.parametrize(
+    ("headers", "limit_per_s"),
+    [
+        ([], math.inf),
+        ([("server-limit", "4.4")], 4.4),
+        ([("server-limit", "0")], 0.0),
+        ([("server-limit", "-1")], None),
+        ([("server-limit", "nan")], None),
+        ([("server-limit", "inf")], None),
+        ([("server-limit", "many")], None),
+    ],
+)
+def test_limit_is_read_if_it_is_a_number(headers, limit_per_s):
+    report = dialect.read_report(ServerResponse(200, headers, b""))
+    assert report.limit_per_s == limit_per_s
