--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -23,11 +23,14 @@
         work_ms: Time that a request takes.
         slots: Requests at the same time; further ones are shed.
         lose_answers: Coming requests whose answer is lost after they ran.
+        limit_per_s: Requests per second from all instances together that the
+            server names as its limit; None names none.
     """
 
     work_ms: float = 5.0
     slots: int = 4
     lose_answers: int = 0
+    limit_per_s: float | None = None
 
 
 class PlatformServerStandIn:
@@ -39,6 +42,7 @@
         self._behaviour = Behaviour()
         self._running = 0
         self._ran: list[dict[str, str]] = []
+        self._arrived: list[float] = []
 
     def build(self) -> web.Application:
         """Returns the application."""
@@ -52,8 +56,11 @@
         headers = request.headers
         if headers.get("Target-Instance", self._name) != self._name:
             return web.Response(status=421, headers={"Instance-Id": self._name})
+        self._arrived.append(time.time())
         if self._running >= self._behaviour.slots:
-            return web.Response(status=503, headers={"Not-Executed": "1"})
+            return web.Response(
+                status=503, headers={"Not-Executed": "1"} | self._needs()
+            )
         self._running += 1
         try:
             body = await request.read()
@@ -71,9 +78,15 @@
                 "Request-Id": request_id,
                 "Server-Seal": f"seal-{self._name}",
                 "Server-Load": f"{self._running},0,{self._behaviour.slots}",
-            },
+            }
+            | self._needs(),
         )
 
+    def _needs(self) -> dict[str, str]:
+        """Returns the headers in which it says what it needs."""
+        limit_per_s = self._behaviour.limit_per_s
+        return {} if limit_per_s is None else {"Server-Limit": f"{limit_per_s}"}
+
     def _note(self, request: web.Request) -> None:
         """Records that a request begins to run."""
         headers = request.headers
@@ -90,7 +103,7 @@
             self._record.write(msgspec.json.encode(line).decode() + "\n")
 
     async def _show(self, request: web.Request) -> web.Response:
-        return _json({"ran": self._ran})
+        return _json({"ran": self._ran, "arrived": self._arrived})
 
     async def _control(self, request: web.Request) -> web.Response:
         known = msgspec.to_builtins(self._behaviour)
