--- a/src/radishmux/share/holders.py
+++ b/src/radishmux/share/holders.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-import xxhash
+from radishmux.rendezvous import rank
 
 
 class TokenHolders:
@@ -38,15 +38,7 @@
         """Returns the ranked instances for a customer; the first holds it."""
         found = self._orders.get(customer)
         if found is None:
-            found = self._orders[customer] = tuple(
-                sorted(
-                    self._members,
-                    key=lambda name: xxhash.xxh3_64_intdigest(
-                        f"{name}\0{customer}".encode()
-                    ),
-                    reverse=True,
-                )
-            )
+            found = self._orders[customer] = rank(self._members, customer)
         return found
 
     def designated_customers(self, customers: Iterable[str]) -> frozenset[str]:
--- a/src/radishmux/steer/cold_pace.py
+++ b/src/radishmux/steer/cold_pace.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-import xxhash
-
+from radishmux.rendezvous import rank
 from radishmux.steer.servers import Server
 
 # Instances that may send to one cold server.
@@ -89,11 +88,5 @@
         return found
 
     def _is_ranked_first(self, server: str) -> bool:
-        ranked = sorted(
-            self._instances,
-            key=lambda name: xxhash.xxh3_64_intdigest(
-                f"{name}\0{server}".encode()
-            ),
-            reverse=True,
-        )
+        ranked = rank(self._instances, server)
         return self._instance in ranked[:SENDERS_PER_SERVER]
