Keep all instances together to the limits that servers name

Cause: a limit that concerns all instances together had no owner. No instance kept to it; the test's logs show single instances that knew it and sent 20 a second to a server with 4.4. Class: a bound on the fleet that each process would have to keep to on its own (as QUOTA was), and a header of a new contract that nobody reads. Change: one instance of the server's region, by rendezvous hashing, grants a permit for each request to a limited server, at 0.75 of the limit: instances may disagree about the holder, and two of them then grant 1.5 of it, which is the users' bound. Whoever gets no permit goes to another server; an attempt that was not sent counts neither as tried nor as a retry. What is known of a limit travels with questions and answers, so that its end reaches all. Why not a part for each instance: with a limit of 4 a second and 195 instances a part is 0.02 a second, and whole requests of all together exceed the limit by far. Why not a few fixed senders, as for cold servers: the capacity of a server whose senders have no callers for it is lost to the others.

--- a/src/radishmux/dispatch/server_response.py
+++ b/src/radishmux/dispatch/server_response.py
@@ -53,3 +53,12 @@
         super().__init__(reason)
         self.verdict = verdict
         self.connection_failed = connection_failed
+
+
+class NotSent(NoResponse):
+    """A request that was not sent, since the server must not get it now."""
+
+    __slots__ = ()
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, Verdict.NOT_RUN)
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -25,6 +25,7 @@
 from radishmux.gateway.request_flow import RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
+from radishmux.gateway.send_permits import SendPermits
 from radishmux.gateway.sender import ServerSender
 from radishmux.gateway.token_log import TokenLog
 from radishmux.http.incoming import IncomingRequest
@@ -242,6 +243,16 @@
             self._reports.on_connection_refused,
             self._clock,
         )
+        self._permits = SendPermits(
+            self._record,
+            self._limits,
+            holders,
+            self._peers,
+            bus,
+            self._reports.on_connection_refused,
+            self._metrics,
+            self._clock,
+        )
         await stack.enter_async_context(self._registrar)
 
     async def _start_request_path(
@@ -256,7 +267,7 @@
             self._fleet,
             placement,
             self._cold_limiter,
-            self._limits,
+            self._permits,
             self._rollouts,
             dialect,
             clock,
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -8,7 +8,11 @@
 
 from radishmux.clock import Clock
 from radishmux.config.routing import CustomerPolicy, HostRoute, RouteKind
-from radishmux.dispatch.server_response import NoResponse, ServerResponse
+from radishmux.dispatch.server_response import (
+    NoResponse,
+    NotSent,
+    ServerResponse,
+)
 from radishmux.gateway.attempt_group import AttemptGroup
 from radishmux.gateway.call import Call, Dialect
 from radishmux.gateway.decision_log import DecisionLog
@@ -258,9 +262,12 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         for task in done:
-            response = self._handle_outcome(state, task.result())
+            outcome = task.result()
+            response = self._handle_outcome(state, outcome)
             if response is not None:
                 return response
+            if isinstance(outcome, NotSent):
+                group.next_attempt_at = now
         if done and not group.tasks:
             group.next_attempt_at = now
         return None
@@ -305,6 +312,7 @@
             self._fleet.usable_servers(state.service, state.regions, rule),
             lambda server: (
                 server.name not in state.tried_servers
+                and server.name not in state.unavailable_servers
                 and self._sender.may_send(server, now)
             ),
             now,
@@ -321,12 +329,17 @@
             return "no_server"
         if now + choice.expected_s >= state.deadline:
             return "no_room"
-        if state.tried_servers and not self._retry_budgets.try_retry(
-            state.service, now
-        ):
+        if state.tried_servers and not self._take_retry(state, now):
             return "retry_budget"
         return None
 
+    def _take_retry(self, state: RequestState, now: float) -> bool:
+        """Takes a retry of the service's budget, or one that was not used."""
+        if state.unused_retries:
+            state.unused_retries -= 1
+            return True
+        return self._retry_budgets.try_retry(state.service, now)
+
     def _describe_rejection(
         self,
         state: RequestState,
@@ -362,7 +375,21 @@
             choice=choice,
             deadline=state.deadline,
         )
-        return asyncio.create_task(self._sender.send(attempt))
+        return asyncio.create_task(self._attempt(state, attempt))
+
+    async def _attempt(
+        self, state: RequestState, attempt: Attempt
+    ) -> ServerResponse | NoResponse:
+        """Makes an attempt; one that was not sent does not count as tried."""
+        outcome = await self._sender.send(attempt)
+        if isinstance(outcome, NotSent):
+            server = attempt.choice.server.name
+            state.tried_servers.remove(server)
+            state.choices.remove(attempt.choice)
+            state.unavailable_servers.add(server)
+            if state.tried_servers:
+                state.unused_retries += 1
+        return outcome
 
     def _handle_outcome(
         self, state: RequestState, outcome: ServerResponse | NoResponse
@@ -372,6 +399,9 @@
         Returns:
             The answer for the caller, or None if the outcome gives none.
         """
+        if isinstance(outcome, NotSent):
+            state.failure_reason = outcome.reason
+            return None
         state.ended_attempts += 1
         if isinstance(outcome, NoResponse):
             state.failure_reason = outcome.reason
--- a/src/radishmux/gateway/request_state.py
+++ b/src/radishmux/gateway/request_state.py
@@ -23,8 +23,10 @@
         regions: Regions that may serve it; empty means all.
         deadline: Monotonic time until which an answer is useful.
         tried_servers: Names of the servers that it was sent to, in order.
+        unavailable_servers: Names of the servers that must not get it now.
         choices: The placement of each attempt, with what was expected of it.
         ended_attempts: Number of attempts that have ended.
+        unused_retries: Retries that the budget allowed and that were not sent.
         may_have_run: Whether a server may have run it.
         last_response: Latest response of a server that ran it, or None.
         failure_reason: Why the latest attempt failed; empty if none did.
@@ -43,6 +45,8 @@
         "route",
         "service",
         "tried_servers",
+        "unavailable_servers",
+        "unused_retries",
     )
 
     def __init__(
@@ -64,8 +68,10 @@
             self.regions = both or NO_REGION
         self.deadline = deadline
         self.tried_servers: list[str] = []
+        self.unavailable_servers: set[str] = set()
         self.choices: list[Choice] = []
         self.ended_attempts = 0
+        self.unused_retries = 0
         self.may_have_run = False
         self.last_response: ServerResponse | None = None
         self.failure_reason = ""
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -9,12 +9,15 @@
 from radishmux.config.routing import HostRoute
 from radishmux.dispatch.http_client import ServerConnectionPool
 from radishmux.dispatch.response_memory import ResponseMemory
-from radishmux.dispatch.server_response import NoResponse, ServerResponse
+from radishmux.dispatch.server_response import (
+    NoResponse,
+    NotSent,
+    ServerResponse,
+)
 from radishmux.gateway.call import Call, Dialect, ExecutionReport
 from radishmux.gateway.fleet_state import FleetState
-from radishmux.gateway.limit_log import LimitLog
 from radishmux.gateway.rollouts import Rollouts
-from radishmux.share.server_limits import ServerLimits
+from radishmux.gateway.send_permits import SendPermits
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_state import LoadReport
@@ -68,7 +71,7 @@
         fleet: The servers and the configuration.
         placement: Holds the observed states and work times of servers.
         cold_limiter: Bounds the requests to cold servers.
-        limits: Limits that servers name in their responses.
+        permits: Keeps to the limits that servers name in their responses.
         rollouts: Collects the outcomes of each version.
         dialect: Translates the headers of servers.
         clock: Monotonic time.
@@ -80,7 +83,7 @@
         fleet: FleetState,
         placement: Placement,
         cold_limiter: ColdRateLimiter,
-        limits: ServerLimits,
+        permits: SendPermits,
         rollouts: Rollouts,
         dialect: Dialect,
         clock: Clock,
@@ -90,8 +93,7 @@
         self._fleet = fleet
         self._placement = placement
         self._cold_limiter = cold_limiter
-        self._limits = limits
-        self._limit_log = LimitLog()
+        self._permits = permits
         self._rollouts = rollouts
         self._dialect = dialect
         self._clock = clock
@@ -113,8 +115,7 @@
         for connections in self._connections.values():
             connections.close_expired()
         self._placement.retain_only(names)
-        self._limits.retain_only(names)
-        self._limit_log.retain_only(names)
+        self._permits.retain_only(names)
 
     async def send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         """Sends a request once.
@@ -138,6 +139,11 @@
     async def _send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         server = attempt.choice.server
         server_state = self._placement.state(server.name)
+        if self._permits.is_required(server):
+            wait_s = await self._permits.acquire(server)
+            if wait_s > 0:
+                server_state.pause_until(self._clock.now() + wait_s)
+                return NotSent("limited")
         now = self._clock.now()
         if server.is_cold(now) and not self._cold_limiter.try_acquire(
             server, now
@@ -158,7 +164,7 @@
         report = self._dialect.read_report(outcome)
         if report.load is not None:
             server_state.apply_load_report(report.load, now)
-        self._record_limit(server, report, now)
+        self._record_limit(server, report)
         if report.verdict is Verdict.NOT_RUN:
             return self._record_not_run(server, report, outcome, now)
         if outcome.status < 400 and not report.is_authentic:
@@ -252,9 +258,7 @@
             cold_until = now + terms.cold_start_s
             server.cold_until = max(server.cold_until, cold_until)
 
-    def _record_limit(
-        self, server: Server, report: ExecutionReport, now: float
-    ) -> None:
+    def _record_limit(self, server: Server, report: ExecutionReport) -> None:
         """Records the limit that a server names in a response.
 
         Only a response that ran and was not altered shows that the server
@@ -265,8 +269,7 @@
             return
         if limit_per_s == math.inf and not report.is_authentic:
             return
-        if self._limits.observe(server.name, limit_per_s, now):
-            self._limit_log.write(server.name, limit_per_s)
+        self._permits.observe(server, limit_per_s)
 
     def _record_not_run(
         self,
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -243,6 +243,25 @@
   4: double fraction,
 }
 
+// Asks the instance that distributes a backend server's limit for a permit to
+// send the server one request.
+struct SendPermitRequest {
+  1: string server,
+  // Limit that the sender knows; -1: the server names none any more.
+  2: double limit_per_s,
+  // Time since the server's response that said so.
+  3: i32 age_ms,
+}
+
+struct SendPermit {
+  1: bool granted,
+  // If it is not granted, time after which to ask again.
+  2: i32 wait_ms,
+  // What the sender knows of the limit, as in SendPermitRequest.
+  3: double limit_per_s,
+  4: i32 age_ms,
+}
+
 // Requests that a peer of the region release its holdings of these customers'
 // rates, since the sender is their token holder now.
 struct HoldingRequest {
@@ -288,6 +307,8 @@
   17: TokenGrant token_grant,
   18: HoldingRequest holding_request,
   19: Holdings holdings,
+  20: SendPermitRequest send_permit_request,
+  21: SendPermit send_permit,
 }
 
 struct Envelope {
--- a/src/radishmux/share/server_limits.py
+++ b/src/radishmux/share/server_limits.py
@@ -5,7 +5,7 @@
 import math
 
 
-class _ServerLimit:
+class ServerLimit:
     """Latest known limit of one server.
 
     Attributes:
@@ -25,7 +25,7 @@
     """Limits of the backend servers, as far as one instance knows them."""
 
     def __init__(self) -> None:
-        self._limits: dict[str, _ServerLimit] = {}
+        self._limits: dict[str, ServerLimit] = {}
 
     @property
     def limited_count(self) -> int:
@@ -34,11 +34,19 @@
             known.limit_per_s < math.inf for known in self._limits.values()
         )
 
+    def get(self, server: str) -> ServerLimit | None:
+        """Returns what is known of a server; None if it never named a limit."""
+        return self._limits.get(server)
+
     def limit_per_s(self, server: str) -> float:
         """Returns the limit of a server; inf if it names none."""
         known = self._limits.get(server)
         return math.inf if known is None else known.limit_per_s
 
+    def is_limited(self, server: str) -> bool:
+        """Whether the server names a limit."""
+        return self.limit_per_s(server) < math.inf
+
     def observe(
         self, server: str, limit_per_s: float, observed_at: float
     ) -> bool:
@@ -56,7 +64,7 @@
         if known is None:
             if limit_per_s == math.inf:
                 return False
-            known = self._limits[server] = _ServerLimit()
+            known = self._limits[server] = ServerLimit()
         if observed_at < known.observed_at:
             return False
         changed = limit_per_s != known.limit_per_s
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -168,7 +168,11 @@
     def record_shed(self, now: float) -> None:
         """Records a request that the server shed because its queue is full."""
         self.record_failure(now)
-        self.paused_until = max(self.paused_until, now + SHED_PAUSE_S)
+        self.pause_until(now + SHED_PAUSE_S)
+
+    def pause_until(self, until: float) -> None:
+        """Sends the server nothing until a time; never ends a pause sooner."""
+        self.paused_until = max(self.paused_until, until)
 
     def _update_failure_share(self, failed: float, now: float) -> None:
         share = self.failure_share(now)
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -144,6 +144,13 @@
     _gauge("gateway_store_calls", "Calls to the store since the start."),
     _gauge("gateway_store_contact_age_seconds", "Age of the store's answer."),
     _gauge("gateway_servers", "Backend servers known."),
+    _counter(
+        "gateway_send_permits_total",
+        "Permits asked for requests to limited backend servers; outcome is"
+        " 'granted' or 'denied'.",
+        "service",
+        "outcome",
+    ),
     _gauge(
         "gateway_servers_limited",
         "Backend servers that name a limit, as far as known here.",
--- a/tests/gateway/test_limited_servers.py
+++ b/tests/gateway/test_limited_servers.py
@@ -24,6 +24,9 @@
 DOMAINS = ("a-1", "a-2", "b-1")
 CALLS_PER_S = 150.0
 LIMITS_PER_S = {"i-0": 4.4, "i-1": 4.4, "i-2": 1.0}
+# Has room for all requests, also for those that arrive together.
+UNLIMITED = "i-3"
+UNLIMITED_SLOTS = 32
 
 
 def allowed(limit_per_s):
@@ -78,18 +81,17 @@
         await fleet.add(f"g{n}", DOMAINS[n % len(DOMAINS)])
 
 
-async def set_domains(fleet):
+async def set_up_servers(fleet):
     """Puts the servers into different failure domains."""
-    await fleet.put(
-        **{
-            f"servers/{name}": server_entry(
-                server.address,
-                Zone=DOMAINS[n % len(DOMAINS)],
-                Sequence=2,
-            )
-            for n, (name, server) in enumerate(fleet.servers.items())
-        }
-    )
+    entries = {
+        f"servers/{name}": server_entry(
+            server.address, Zone=DOMAINS[n % len(DOMAINS)], Sequence=2
+        )
+        for n, (name, server) in enumerate(fleet.servers.items())
+    }
+    entries[f"servers/{UNLIMITED}"]["Slots"] = UNLIMITED_SLOTS
+    await fleet.put(**entries)
+    await fleet.servers[UNLIMITED].control(slots=UNLIMITED_SLOTS)
 
 
 # Guards against instances that do not know or do not share the limit that a
@@ -98,7 +100,7 @@
     tmp_path,
 ):
     async with run_fleet(tmp_path, servers=4) as fleet:
-        await set_domains(fleet)
+        await set_up_servers(fleet)
         await start_gateways(fleet, 6)
         for name, limit_per_s in LIMITS_PER_S.items():
             await fleet.servers[name].control(limit_per_s=limit_per_s)
@@ -119,5 +121,4 @@
         most[name] <= allowed(limit_per_s)
         for name, limit_per_s in LIMITS_PER_S.items()
     ), most
-    # The fourth server has room for all requests.
     assert {status for status, _ in callers.statuses} == {200}
