Let instances of large fleets find their peers again after a cut

Cause: above 16 instances a member hears its peers through its two hubs. A member that was cut off hears nobody, takes itself for the only hub of its region and waits for members to ask it, which they do not: they regard it as silent. If both hubs are cut off, all members of the region lose each other and stay apart. Change: in each period an instance asks one random peer of its region that it does not hear and that is not known to be dead. What that peer hears comes with its report, so that the views merge in a few periods. The virtual fleet's store mirror gets the methods that members of large fleets use.

--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
@@ -111,6 +112,7 @@
         self._registration_grace_until = clock.now() + JOIN_GRACE_S
         self._token_log = token_log
         self._clock = clock
+        self._rng = random.Random(own.instance)
         self._full_mesh_max = full_mesh_max
         self._plan = exchange_plan(own, (), lambda name: False)
         self._exchanges: dict[str, asyncio.Task[None]] = {}
@@ -172,11 +174,40 @@
         self._next_round_at = now + self._period_s - REPORT_PERIOD_S / 2
         for name in self._plan.poll_targets:
             self._start_exchange(name)
+        unheard = self._unheard_peer(now)
+        if unheard is not None:
+            self._start_exchange(unheard)
         overdue_s = _OVERDUE_PERIODS * self._period_s
         for name in self._plan.expected_pollers:
             if self._peers.heard_age_s(name, now) > overdue_s:
                 self._start_exchange(name)
 
+    @property
+    def _region_peers(self) -> list[str]:
+        """Names of the known peers of the own region."""
+        return [
+            name
+            for name, record in self._peers.records.items()
+            if record.region == self._own.region
+        ]
+
+    def _unheard_peer(self, now: float) -> str | None:
+        """Returns a random peer of the region that is silent, if there is one.
+
+        An instance that was cut off, or whose hubs are gone, hears its peers
+        through nobody. Which of them are the hubs now shows in the reports of
+        any peer that does hear them.
+        """
+        if self._plan.is_mesh:
+            return None
+        unheard = [
+            name
+            for name in self._region_peers
+            if not self._peers.is_heard(name, now)
+            and not self._peers.is_dead(name)
+        ]
+        return self._rng.choice(unheard) if unheard else None
+
     async def _update_addresses(self) -> None:
         for name, record in list(self._peers.records.items()):
             await self._bus.set_address(name, record.peer_address)
@@ -213,11 +244,7 @@
         own = self._own
         for name, record in self._peers.records.items():
             self._bus.add_address(name, record.peer_address)
-        region_peers = {
-            name
-            for name, record in self._peers.records.items()
-            if record.region == own.region
-        }
+        region_peers = self._region_peers
         members = {
             name for name in region_peers if self._peers.is_usable(name, now)
         }
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -46,6 +46,12 @@
     def set_hub(self, is_hub):
         pass
 
+    def feed_after(self, revision, now):
+        return None
+
+    def end_feed(self, reason):
+        pass
+
 
 class Node:
     """One process of an instance; an async context manager."""
