Pass a question for a permit on to the holder; test limits under faults

What callers saw: nothing; a server with a limit of 2 a second would get 18 or 19 requests in 4 s, 17 are allowed. Cause: an instance granted a permit to whoever asked it. Instances of other regions learn later which instance of the server's region is alive, so that three of them granted permits at the same time after holders had been cut off. Change: an instance that is asked and takes another one of its region for the holder asks that one. Attempts that were not sent are also tested in the request flow.

--- a/src/radishmux/gateway/send_permits.py
+++ b/src/radishmux/gateway/send_permits.py
@@ -25,6 +25,9 @@
 
 # Timeout of a question to a holder, which may be in another region.
 HOLDER_TIMEOUT_S = 0.25
+# Timeout of a forwarded question. It is shorter because the instance that asked
+# first waits with HOLDER_TIMEOUT_S.
+FORWARDED_TIMEOUT_S = 0.1
 # A holder that did not answer is skipped for this long. By then the reports
 # show that it is dead or silent.
 UNRESPONSIVE_S = 2.0
@@ -140,7 +143,7 @@
             if tried == MAX_HOLDERS_TRIED:
                 break
             tried += 1
-            wait_s = await self._ask_peer(holder, server.name)
+            wait_s = await self._ask_peer(holder, server.name, server.region)
             if wait_s is not None:
                 return wait_s
         return NO_HOLDER_WAIT_S
@@ -171,13 +174,23 @@
             return 0.0
         return self._buckets.take(server, limit_per_s, self._clock.now())
 
-    async def _ask_peer(self, holder: str, server: str) -> float | None:
+    async def _ask_peer(
+        self, holder: str, server: str, region: str, is_forwarded: bool = False
+    ) -> float | None:
         """Asks a peer; returns None if it gives no usable answer."""
         limit_per_s, age_ms = self._encode_limit(server)
         request = messages.SendPermitRequest(
-            server=server, limit_per_s=limit_per_s, age_ms=age_ms
+            server=server,
+            limit_per_s=limit_per_s,
+            age_ms=age_ms,
+            region=region,
+            is_forwarded=is_forwarded,
+        )
+        reply = await self._bus.request(
+            holder,
+            request,
+            FORWARDED_TIMEOUT_S if is_forwarded else HOLDER_TIMEOUT_S,
         )
-        reply = await self._bus.request(holder, request, HOLDER_TIMEOUT_S)
         if isinstance(reply, PeerUnavailable):
             self._unresponsive_until[holder] = (
                 self._clock.now() + UNRESPONSIVE_S
@@ -197,7 +210,11 @@
         server = message.server
         if not server or not self._apply_limit(server, message):
             return messages.Done(accepted=False, reason="incomplete")
-        wait_s = self._take(server)
+        wait_s = None
+        if not message.is_forwarded and message.region == self._own.region:
+            wait_s = await self._forward(server)
+        if wait_s is None:
+            wait_s = self._take(server)
         limit_per_s, age_ms = self._encode_limit(server)
         return messages.SendPermit(
             granted=wait_s == 0.0,
@@ -206,6 +223,26 @@
             age_ms=age_ms,
         )
 
+    async def _forward(self, server: str) -> float | None:
+        """Asks the holder if this instance is not the holder itself.
+
+        The instances of a region agree on the holder sooner than those of
+        other regions, which may ask a previous one.
+
+        Returns:
+            None if this instance has to answer itself.
+        """
+        holder = self._holders.order(server)[0]
+        unresponsive_until = self._unresponsive_until.get(holder, 0.0)
+        if (
+            holder == self._own.instance
+            or unresponsive_until > self._clock.now()
+        ):
+            return None
+        return await self._ask_peer(
+            holder, server, self._own.region, is_forwarded=True
+        )
+
     def _encode_limit(self, server: str) -> tuple[float, int]:
         """Returns the fields of a message for what is known of a limit."""
         known = self._limits.get(server)
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -251,6 +251,11 @@
   2: double limit_per_s,
   // Time since the server's response that said so.
   3: i32 age_ms,
+  // Region of the server.
+  4: string region,
+  // Whether another instance forwarded this, since it considers the receiver
+  // the holder.
+  5: bool is_forwarded = false,
 }
 
 struct SendPermit {
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -8,7 +8,11 @@
 
 from radishmux.clock import SystemClock
 from radishmux.config.routing import RouteKind
-from radishmux.dispatch.server_response import NoResponse, ServerResponse
+from radishmux.dispatch.server_response import (
+    NoResponse,
+    NotSent,
+    ServerResponse,
+)
 from radishmux.gateway.decision_log import DecisionLog
 from radishmux.gateway.events import ConfigurationPut, ServerPut
 from radishmux.gateway.fleet_state import FleetState
@@ -26,6 +30,7 @@
 OK = ServerResponse(200, [("server-seal", "x"), ("request-id", "id-1")], b"ok")
 FAILED = ServerResponse(500, [("server-seal", "x")], b"failed")
 SHED = NoResponse("shed:503", Verdict.NOT_RUN)
+NOT_SENT = NotSent("limited")
 LOST = NoResponse("connection_broken", Verdict.MAY_HAVE_RUN, True)
 
 
@@ -324,3 +329,28 @@
     assert "no_room: 2 servers, " in line
     assert " ms left, best s" in line
     assert "with load 40.0 of 4 expected to take" in line
+
+
+# Guards against attempts that were not sent and yet use up those of a route
+# or the retries of a service.
+async def test_attempts_that_were_not_sent_do_not_count():
+    sender = FakeSender(NOT_SENT, SHED, NOT_SENT, NOT_SENT, OK)
+    flow, lines = make_flow(
+        sender, parts.configuration(parts.route(max_attempts=2)), servers=5
+    )
+    flow._retry_budgets = RetryBudgets(Bounds(retry_slack=1 / 0.8))
+    response = await send_request(flow)
+    assert response.status == 200
+    assert len(set(sender.servers)) == 5
+    assert lines.lines[0].count(b'"server":') == 2
+
+
+async def test_request_that_no_server_may_get_is_refused_at_once():
+    sender = FakeSender(NOT_SENT, NOT_SENT)
+    flow, lines = make_flow(sender, unsafe_configuration())
+    async with asyncio.timeout(0.1):
+        response = await send_request(flow)
+    assert response.status == 503
+    assert float(dict(response.headers)["Retry-After"]) > 0
+    assert len(set(sender.servers)) == 2
+    assert b'"last_failure":"limited"' in lines.lines[0]
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -16,11 +16,13 @@
 from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.gateway.rate_limiter import FleetRateLimiter
 from radishmux.gateway.reports import FleetReports
+from radishmux.gateway.send_permits import SendPermits
 from radishmux.gateway.token_log import TokenLog
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holders import TokenHolders
+from radishmux.share.server_limits import ServerLimits
 from radishmux.telemetry.metrics import Metrics
 from tests.gateway.virtual_network import Network, VirtualBus
 
@@ -105,6 +107,16 @@
             self.reports.on_connection_refused,
             self.clock,
         )
+        self.permits = SendPermits(
+            record,
+            ServerLimits(),
+            holders,
+            self.peers,
+            self.bus,
+            self.reports.on_connection_refused,
+            Metrics(),
+            self.clock,
+        )
         self.customers = customers
 
     def read_records(self):
