Tell requests for rest from full queues in logs and metrics

Cause looked for: whether the Retry-After of servers is not read, is kept and ended early, or meets requests on their way. The lines named shed:503 for a server that is full for a moment and for one that asks for seconds of rest. Change: the dialect reads the seconds of a 503, the outcome of such an attempt is rest:503, a counter and a line when a rest begins. Nothing is sent differently yet.

--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -88,6 +88,8 @@
         limit_per_s: Requests per second that the server accepts from all
             instances together; inf if it names no limit, None if the limit
             cannot be read.
+        rest_s: Seconds for which the server, which turned the request away,
+            accepts nothing from this instance; 0 if it did not say so.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "limit_per_s",
         "load",
         "misdirected",
+        "rest_s",
         "verdict",
     )
 
@@ -106,12 +109,14 @@
         is_authentic: bool,
         load: LoadReport | None,
         limit_per_s: float | None,
+        rest_s: float,
     ) -> None:
         self.verdict = verdict
         self.misdirected = misdirected
         self.is_authentic = is_authentic
         self.load = load
         self.limit_per_s = limit_per_s
+        self.rest_s = rest_s
 
 
 class Dialect(Protocol):
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -22,6 +22,7 @@
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_state import LoadReport
 from radishmux.steer.servers import Server
+from radishmux.telemetry.logs import state_change
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
 
@@ -165,6 +166,8 @@
         if report.load is not None:
             server_state.apply_load_report(report.load, now)
         self._record_limit(server, report)
+        if report.rest_s > 0:
+            self._record_rest(server, report.rest_s, now)
         if report.verdict is Verdict.NOT_RUN:
             return self._record_not_run(server, report, outcome, now)
         if outcome.status < 400 and not report.is_authentic:
@@ -271,6 +274,15 @@
             return
         self._permits.observe(server, limit_per_s)
 
+    def _record_rest(self, server: Server, rest_s: float, now: float) -> None:
+        """Records that a server accepts nothing from this instance now."""
+        server_state = self._placement.state(server.name)
+        self._metrics.count("gateway_rests_total", service=server.entry.service)
+        if server_state.record_rest(rest_s, now):
+            state_change(
+                f"backend server {server.name}", "resting", rest_s=rest_s
+            )
+
     def _record_not_run(
         self,
         server: Server,
@@ -288,7 +300,8 @@
         if report.load is None:
             slots = server.entry.slots
             server_state.apply_load_report(LoadReport(slots, slots, slots), now)
-        return NoResponse(f"shed:{outcome.status}", Verdict.NOT_RUN)
+        kind = "rest" if report.rest_s > 0 else "shed"
+        return NoResponse(f"{kind}:{outcome.status}", Verdict.NOT_RUN)
 
     def _record_response(
         self,
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -23,10 +23,12 @@
 NOT_EXECUTED = "not-executed"
 LOAD = "server-load"
 LIMIT = "server-limit"
+RETRY_AFTER = "retry-after"
 # Headers that are not copied from a caller to a backend server, because only
 # this system may set them there.
 _RESERVED_HEADERS = frozenset({KEY, DEADLINE, TARGET, CUSTOMER})
 _MISDIRECTED_STATUS = 421
+_TURNED_AWAY_STATUS = 503
 
 
 def read_call(request: IncomingRequest) -> Call | Unavailable:
@@ -131,6 +133,7 @@
         and response.header("content-encoding") is None,
         load=_parse_load(response),
         limit_per_s=_parse_limit(response),
+        rest_s=_parse_rest(response),
     )
 
 
@@ -150,6 +153,13 @@
     return math.inf if value is None else _parse_number(value)
 
 
+def _parse_rest(response: ServerResponse) -> float:
+    value = response.header(RETRY_AFTER)
+    if value is None or response.status != _TURNED_AWAY_STATUS:
+        return 0.0
+    return _parse_number(value) or 0.0
+
+
 def encode_answer(response: ServerResponse) -> Response:
     """Converts a backend server's response to the one for the caller."""
     headers = [
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -50,6 +50,7 @@
         in_flight: Requests of this instance without a response so far.
         paused_until: Monotonic time until which the server gets no requests.
         last_sent_at: Monotonic time of the latest request.
+        rest_until: Monotonic time until which the server asked for rest.
     """
 
     __slots__ = (
@@ -65,12 +66,14 @@
         "in_flight",
         "last_sent_at",
         "paused_until",
+        "rest_until",
     )
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.paused_until = -math.inf
         self.last_sent_at = -math.inf
+        self.rest_until = -math.inf
         self._other_load = 0.0
         self._mean_other_load = 0.0
         self._other_load_at = -math.inf
@@ -170,6 +173,16 @@
         self.record_failure(now)
         self.pause_until(now + SHED_PAUSE_S)
 
+    def record_rest(self, rest_s: float, now: float) -> bool:
+        """Records that the server asked for rest.
+
+        Returns:
+            Whether it was not resting already.
+        """
+        is_first = self.rest_until <= now
+        self.rest_until = max(self.rest_until, now + rest_s)
+        return is_first
+
     def pause_until(self, until: float) -> None:
         """Sends the server nothing until a time; never ends a pause sooner."""
         self.paused_until = max(self.paused_until, until)
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -144,6 +144,11 @@
     _gauge("gateway_store_calls", "Calls to the store since the start."),
     _gauge("gateway_store_contact_age_seconds", "Age of the store's answer."),
     _gauge("gateway_servers", "Backend servers known."),
+    _counter(
+        "gateway_rests_total",
+        "Responses in which a backend server asked this instance for rest.",
+        "service",
+    ),
     _counter(
         "gateway_send_permits_total",
         "Permits asked for requests to limited backend servers; outcome is"
--- a/tests/gateway/test_dialect.py
+++ b/tests/gateway/test_dialect.py
@@ -108,3 +108,24 @@
 def test_limit_is_read_if_it_is_a_number(headers, limit_per_s):
     report = dialect.read_report(ServerResponse(200, headers, b""))
     assert report.limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize(
+    ("status", "retry_after", "rest_s"),
+    [
+        (503, "3", 3.0),
+        (503, "0.5", 0.5),
+        (503, None, 0.0),
+        (503, "soon", 0.0),
+        (503, "-1", 0.0),
+        (503, "inf", 0.0),
+        (429, "3", 0.0),
+        (200, "3", 0.0),
+    ],
+)
+def test_rest_is_read_if_a_request_was_turned_away(status, retry_after, rest_s):
+    headers = [("not-executed", "1")]
+    if retry_after is not None:
+        headers.append(("retry-after", retry_after))
+    report = dialect.read_report(ServerResponse(status, headers, b""))
+    assert report.rest_s == rest_s
