--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -25,12 +25,15 @@
         lose_answers: Coming requests whose answer is lost after they ran.
         limit_per_s: Requests per second from all instances together that the
             server names as its limit; None names none.
+        rest_s: Seconds of rest that it asks for as it turns every request
+            away; None turns none away.
     """
 
     work_ms: float = 5.0
     slots: int = 4
     lose_answers: int = 0
     limit_per_s: float | None = None
+    rest_s: float | None = None
 
 
 class PlatformServerStandIn:
@@ -42,7 +45,7 @@
         self._behaviour = Behaviour()
         self._running = 0
         self._ran: list[dict[str, str]] = []
-        self._arrived: list[float] = []
+        self._arrived: list[dict[str, Any]] = []
 
     def build(self) -> web.Application:
         """Returns the application."""
@@ -56,7 +59,19 @@
         headers = request.headers
         if headers.get("Target-Instance", self._name) != self._name:
             return web.Response(status=421, headers={"Instance-Id": self._name})
-        self._arrived.append(time.time())
+        rest_s = self._behaviour.rest_s
+        self._arrived.append(
+            {
+                "id": headers.get("Request-Id", ""),
+                "at": time.time(),
+                "rest_s": rest_s,
+            }
+        )
+        if rest_s is not None:
+            return web.Response(
+                status=503,
+                headers={"Not-Executed": "1", "Retry-After": f"{rest_s}"},
+            )
         if self._running >= self._behaviour.slots:
             return web.Response(
                 status=503, headers={"Not-Executed": "1"} | self._needs()
