Show that servers which say that they leave get new requests

What callers saw: nothing so far; the users' pages say from now on that a server tells in its answers that it leaves, and that an instance which passed such an answer on sends it nothing that was sent later than DrainS after that. Cause: the header is not read; a server counts as leaving only when its entry in the store says so.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -27,6 +27,7 @@
             server names as its limit; None names none.
         rest_s: Seconds of rest that it asks for as it turns every request
             away; None turns none away.
+        leaving: Whether it says in its answers that it is about to leave.
     """
 
     work_ms: float = 5.0
@@ -34,6 +35,7 @@
     lose_answers: int = 0
     limit_per_s: float | None = None
     rest_s: float | None = None
+    leaving: bool = False
 
 
 class PlatformServerStandIn:
@@ -65,6 +67,7 @@
                 "id": headers.get("Request-Id", ""),
                 "at": time.time(),
                 "rest_s": rest_s,
+                "leaving": self._behaviour.leaving,
             }
         )
         if rest_s is not None:
@@ -99,8 +102,12 @@
 
     def _needs(self) -> dict[str, str]:
         """Returns the headers in which it says what it needs."""
-        limit_per_s = self._behaviour.limit_per_s
-        return {} if limit_per_s is None else {"Server-Limit": f"{limit_per_s}"}
+        headers = {}
+        if self._behaviour.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self._behaviour.limit_per_s}"
+        if self._behaviour.leaving:
+            headers["Server-Leaving"] = "1"
+        return headers
 
     def _note(self, request: web.Request) -> None:
         """Records that a request begins to run."""
--- a/tests/gateway/needy_fleet.py
+++ b/tests/gateway/needy_fleet.py
@@ -23,6 +23,7 @@
 
     Attributes:
         gateways: Name of the gateway that each request was sent to, by id.
+        sent_at: Unix time of each request, by id.
         answers: Unix time of the request and status of each answer.
     """
 
@@ -31,6 +32,7 @@
         self.rng = random.Random(1)
         self.numbers = itertools.count()
         self.gateways = {}
+        self.sent_at = {}
         self.answers = []
 
     async def call_for(self, seconds):
@@ -53,7 +55,7 @@
             "Deadline-Remaining": "2000",
         }
         url = f"http://{gateway.caller}/safe/1"
-        sent_at = time.time()
+        sent_at = self.sent_at[request_id] = time.time()
         async with session.get(url, headers=headers) as response:
             await response.read()
             self.answers.append((sent_at, response.status))
