Send nothing more to servers that say that they leave

What callers saw: nothing so far; requests that reach a server as it ends are lost or repeated. Cause: a server that leaves may say so in its responses alone, while its entry in the store is still ready or is only removed. Instances looked at the entry only. Change: the server is marked at the first such response, is left out like one whose entry is draining, and a request that still waits for a permit or a connection is not sent to it. The mark belongs to one start of the server: an entry with a newer start brings it back, an older entry that says ready does not.

--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -90,10 +90,12 @@
             cannot be read.
         rest_s: Seconds for which the server, which turned the request away,
             accepts nothing from this instance; 0 if it did not say so.
+        is_leaving: Whether the server says that it is about to leave.
     """
 
     __slots__ = (
         "is_authentic",
+        "is_leaving",
         "limit_per_s",
         "load",
         "misdirected",
@@ -110,6 +112,7 @@
         load: LoadReport | None,
         limit_per_s: float | None,
         rest_s: float,
+        is_leaving: bool,
     ) -> None:
         self.verdict = verdict
         self.misdirected = misdirected
@@ -117,6 +120,7 @@
         self.load = load
         self.limit_per_s = limit_per_s
         self.rest_s = rest_s
+        self.is_leaving = is_leaving
 
 
 class Dialect(Protocol):
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -167,6 +167,8 @@
         report = self._dialect.read_report(outcome)
         if report.load is not None:
             server_state.apply_load_report(report.load, now)
+        if report.is_leaving and not report.misdirected:
+            self._record_leaving(server)
         self._record_limit(server, report)
         if report.rest_s > 0:
             self._record_rest(server, report.rest_s, now)
@@ -201,15 +203,16 @@
             attempt.deadline,
             call.method == "HEAD",
             lambda headers: self._dialect.is_response_to(call, headers),
-            # The server may have asked for rest while a permit or a
-            # connection was awaited.
+            # The server may have asked for rest, or said that it leaves,
+            # while a permit or a connection was awaited.
             lambda: self._is_wanted(server),
         )
 
     def _is_wanted(self, server: Server) -> bool:
         """Whether a server accepts requests of this instance at all."""
         state = self._placement.state(server.name)
-        return state.rest_until <= self._clock.now()
+        is_resting = state.rest_until > self._clock.now()
+        return not (is_resting or server.is_leaving)
 
     def _record_failure(
         self, attempt: Attempt, outcome: NoResponse, now: float
@@ -286,6 +289,15 @@
             return
         self._permits.observe(server, limit_per_s)
 
+    def _record_leaving(self, server: Server) -> None:
+        """Records that a server must get no further request."""
+        if self._fleet.servers.mark_leaving(server):
+            state_change(
+                f"backend server {server.name}",
+                "leaving",
+                service=server.entry.service,
+            )
+
     def _record_rest(self, server: Server, rest_s: float, now: float) -> None:
         """Records that a server accepts nothing from this instance now."""
         server_state = self._placement.state(server.name)
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -23,6 +23,7 @@
 NOT_EXECUTED = "not-executed"
 LOAD = "server-load"
 LIMIT = "server-limit"
+LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
 # Headers that are not copied from a caller to a backend server, because only
 # this system may set them there.
@@ -134,6 +135,7 @@
         load=_parse_load(response),
         limit_per_s=_parse_limit(response),
         rest_s=_parse_rest(response),
+        is_leaving=response.header(LEAVING) == "1",
     )
 
 
--- a/src/radishmux/steer/servers.py
+++ b/src/radishmux/steer/servers.py
@@ -55,17 +55,27 @@
         cold_until: Monotonic time until which the server is cold.
         first_seen_at: Monotonic time when this start of the server was first
             seen.
+        is_leaving: Whether the server has said in a response that it is about
+            to leave. Its entry may say so later or never.
         remove_at: Monotonic time from which on the server is removed because
             its entry is missing; None while the entry exists.
     """
 
-    __slots__ = ("cold_until", "remove_at", "entry", "region", "first_seen_at")
+    __slots__ = (
+        "cold_until",
+        "entry",
+        "first_seen_at",
+        "is_leaving",
+        "region",
+        "remove_at",
+    )
 
     def __init__(self, entry: ServerEntry, region: str, now: float) -> None:
         self.entry = entry
         self.region = region
         self.cold_until = now + entry.cold_remaining_s
         self.first_seen_at = now
+        self.is_leaving = False
         self.remove_at: float | None = None
 
     @property
@@ -100,13 +110,15 @@
         return self._servers.values()
 
     def of_service(self, service: str) -> tuple[Server, ...]:
-        """Returns the servers of a service that are not draining."""
+        """Returns the servers of a service that are not about to leave."""
         found = self._by_service.get(service)
         if found is None:
             found = tuple(
                 server
                 for _, server in sorted(self._servers.items())
-                if server.entry.service == service and not server.entry.draining
+                if server.entry.service == service
+                and not server.entry.draining
+                and not server.is_leaving
             )
             self._by_service[service] = found
         return found
@@ -149,6 +161,20 @@
             self._by_service.clear()
         return True
 
+    def mark_leaving(self, server: Server) -> bool:
+        """Records that a server has said that it is about to leave.
+
+        The mark ends with the server: its next start is another `Server`.
+
+        Returns:
+            Whether it had not said so before.
+        """
+        if server.is_leaving:
+            return False
+        server.is_leaving = True
+        self._by_service.clear()
+        return True
+
     def remove(self, name: str, now: float) -> None:
         """Removes a server whose entry was deleted.
 
--- a/tests/gateway/test_dialect.py
+++ b/tests/gateway/test_dialect.py
@@ -129,3 +129,13 @@
         headers.append(("retry-after", retry_after))
     report = dialect.read_report(ServerResponse(status, headers, b""))
     assert report.rest_s == rest_s
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_leaving"),
+    [([], False), ([("server-leaving", "1")], True)],
+)
+def test_server_says_in_any_response_that_it_leaves(headers, is_leaving):
+    for status in (200, 500, 503):
+        report = dialect.read_report(ServerResponse(status, headers, b""))
+        assert report.is_leaving == is_leaving
--- a/tests/steer/test_servers.py
+++ b/tests/steer/test_servers.py
@@ -19,6 +19,20 @@
     assert table.get("a") is not None
 
 
+# Guards against a leaving server that its entry, which says ready, brings back.
+def test_leaving_server_gets_no_requests_until_its_next_start():
+    table = ServerTable(REGIONS)
+    table.put(entry("a", sequence=5, started_ms=10), 0.0)
+    table.put(entry("b"), 0.0)
+    assert names(table) == {"a", "b"}
+    assert table.mark_leaving(table.get("a"))
+    assert not table.mark_leaving(table.get("a"))
+    table.put(entry("a", sequence=6, started_ms=10), 1.0)
+    assert names(table) == {"b"}
+    table.put(entry("a", sequence=1, started_ms=20), 2.0)
+    assert names(table) == {"a", "b"}
+
+
 def test_outdated_entry_is_dropped():
     table = ServerTable(REGIONS)
     table.put(entry("a", sequence=5, started_ms=10, draining=True), 0.0)
