Begin with a new state for a server that has started again

What callers saw: not observed; a server that is back under its name after a rest, a full queue or an address that was another's is left alone for what it did before: for up to the rest that it had asked for, and after a 421 for good. Cause: the state that an instance keeps of a server has the server's name as its key, and a start under the same name is a new server that holds and knows nothing of before. Its record in the table of servers is new; its state was not. Change: the state belongs to a start of a server. Outcomes of requests to an earlier start do not change it.

--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -139,7 +139,7 @@
 
     async def _send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         server = attempt.choice.server
-        server_state = self._placement.state(server.name)
+        server_state = self._placement.state_of(server)
         if self._permits.is_required(server):
             wait_s = await self._permits.acquire(server)
             if wait_s > 0:
@@ -210,7 +210,7 @@
 
     def _is_wanted(self, server: Server) -> bool:
         """Whether a server accepts requests of this instance at all."""
-        state = self._placement.state(server.name)
+        state = self._placement.state_of(server)
         is_resting = state.rest_until > self._clock.now()
         return not (is_resting or server.is_leaving)
 
@@ -218,7 +218,7 @@
         self, attempt: Attempt, outcome: NoResponse, now: float
     ) -> NoResponse:
         server = attempt.choice.server
-        server_state = self._placement.state(server.name)
+        server_state = self._placement.state_of(server)
         if outcome.connection_failed:
             server_state.record_connection_failure(now)
             self._mark_cold(server, now)
@@ -245,7 +245,7 @@
         """
         ratio = waited_s / max(0.01, attempt.choice.expected_cold_s)
         if ratio > 1.0:
-            server_state = self._placement.state(attempt.choice.server.name)
+            server_state = self._placement.state_of(attempt.choice.server)
             server_state.record_response(ratio, None, self._clock.now())
             self._record_version_outcome(attempt, False, waited_s)
 
@@ -300,7 +300,7 @@
 
     def _record_rest(self, server: Server, rest_s: float, now: float) -> None:
         """Records that a server accepts nothing from this instance now."""
-        server_state = self._placement.state(server.name)
+        server_state = self._placement.state_of(server)
         self._metrics.count("gateway_rests_total", service=server.entry.service)
         if server_state.record_rest(rest_s, now):
             state_change(
@@ -314,7 +314,7 @@
         outcome: ServerResponse,
         now: float,
     ) -> NoResponse:
-        server_state = self._placement.state(server.name)
+        server_state = self._placement.state_of(server)
         if report.misdirected:
             # The address now belongs to another server. No requests go to it
             # under this name; the server's entry will be updated.
@@ -336,7 +336,7 @@
     ) -> None:
         choice = attempt.choice
         route = attempt.route
-        server_state = self._placement.state(choice.server.name)
+        server_state = self._placement.state_of(choice.server)
         self._record_version_outcome(attempt, outcome.status >= 500, duration_s)
         if outcome.status >= 500:
             server_state.record_failure(now)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -183,11 +183,28 @@
         self._places: dict[str, ObjectPlaces] = {}
         self._spillover_limiters: dict[str, SpilloverLimiter] = {}
 
-    def state(self, name: str) -> ServerState:
-        """Returns the observed state of a server."""
+    def state(self, name: str, started_ms: int = 0) -> ServerState:
+        """Returns the observed state of a server.
+
+        Args:
+            name: Name of the server.
+            started_ms: Unix time of its start in milliseconds. A server that
+                has started again under its name begins with a new state.
+        """
         state = self._states.get(name)
-        if state is None:
-            state = self._states[name] = ServerState()
+        if state is None or started_ms > state.started_ms:
+            state = self._states[name] = ServerState(started_ms)
+        return state
+
+    def state_of(self, server: Server) -> ServerState:
+        """Returns the observed state of a server since its latest start.
+
+        The outcomes of requests to an earlier start do not change it.
+        """
+        started_ms = server.entry.started_ms
+        state = self.state(server.name, started_ms)
+        if 0 < started_ms < state.started_ms:
+            return ServerState(started_ms)
         return state
 
     def work_times(self, service: str, route: str) -> WorkTimes:
@@ -262,7 +279,7 @@
             self._places[request.service] = places
         place = places.place(request.key, servers, request.transfer_bytes)
         nearer = place.homes.by_level[Level.REGION]
-        busy = self.state(nearer.name).load(now) / nearer.entry.slots
+        busy = self.state_of(nearer).load(now) / nearer.entry.slots
         places.record_request(
             place, request.transfer_bytes, busy < MAX_LOAD_FOR_MOVE, now
         )
@@ -312,7 +329,7 @@
             place.home, now
         )
         for server in servers:
-            state = self.state(server.name)
+            state = self.state_of(server)
             if not state.is_available(now) or not may_use(server):
                 continue
             if avoid_crowded and self._is_crowded_and_cold(
@@ -330,7 +347,7 @@
 
     def _is_reachable(self, server: Server, now: float) -> bool:
         """Returns whether a server is not paused, except after shedding."""
-        state = self.state(server.name)
+        state = self.state_of(server)
         return state.unavailable_until <= now + SHED_PAUSE_S
 
     @staticmethod
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -47,6 +47,8 @@
     """Load, speed and failures of a backend server, seen by this instance.
 
     Attributes:
+        started_ms: Unix time of the server's start in milliseconds; 0 if it
+            is not known.
         in_flight: Requests of this instance without a response so far.
         paused_until: Monotonic time until which the server gets no requests.
         last_sent_at: Monotonic time of the latest request.
@@ -68,9 +70,11 @@
         "last_sent_at",
         "paused_until",
         "rest_until",
+        "started_ms",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, started_ms: int = 0) -> None:
+        self.started_ms = started_ms
         self.in_flight = 0
         self.paused_until = -math.inf
         self.last_sent_at = -math.inf
--- a/tests/steer/test_resting_servers.py
+++ b/tests/steer/test_resting_servers.py
@@ -42,6 +42,22 @@
     return choice.server.name
 
 
+# Guards against a server that has started again and is left alone because of
+# what it did before.
+def test_server_that_has_started_again_is_not_resting():
+    placement = Placement("a", "a-1")
+    before = server("s0", started_ms=1)
+    placement.state_of(before).record_rest(60.0, NOW)
+    request = PlacementRequest("s", "r", None, frozenset())
+    assert placement.choose(request, [before], lambda _: True, NOW) is None
+    after = server("s0", started_ms=2)
+    choice = placement.choose(request, [after], lambda _: True, NOW)
+    assert choice.server is after
+    # The response to a request that the earlier start had received.
+    placement.state_of(before).record_rest(60.0, NOW)
+    assert placement.state_of(after).is_available(NOW)
+
+
 # Guards against a request that is turned away by one resting server after the
 # other until it has no attempts left.
 def test_retry_prefers_servers_that_have_not_rested():
