Start without an error if the store answers before the listener exists

What callers saw: nothing; the daemon logged 'mirror of prefix failed', with an attribute that did not exist yet, and read the store's list again. Cause: the mirror starts before the listener for callers, and the configuration's limits were applied to the listener.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -72,6 +72,7 @@
         self._leaving = False
         self._rng = random.Random()
         self._members: frozenset[str] = frozenset()
+        self._callers: PipelinedServer | None = None
         self._record = InstanceRecord(
             instance=settings.instance,
             incarnation=time.time_ns() // 1_000_000,
@@ -307,6 +308,7 @@
                 listen.caller, flow.handle, on_rejected=self._on_rejected
             )
         )
+        self._apply_caller_limits()
         task = asyncio.create_task(
             repeat(self._housekeeping, HOUSEKEEPING_PERIOD_S, "housekeeping")
         )
@@ -347,7 +349,7 @@
     def _on_event(self, event: Event, now: float) -> None:
         if isinstance(event, ConfigurationPut) and self._fleet.routes:
             configuration = self._fleet.routes.configuration
-            self._callers.limits = configuration.limits
+            self._apply_caller_limits()
             self._rates.set_customers(configuration.customers, now)
             self._cold_limiter.set_rates(
                 {
@@ -358,6 +360,14 @@
         if isinstance(event, InstancePut):
             self._update_members(now)
 
+    def _apply_caller_limits(self) -> None:
+        """Applies the configuration's limits on the requests of callers.
+
+        The configuration may be read before the listener has been started.
+        """
+        if self._callers is not None and self._fleet.routes is not None:
+            self._callers.limits = self._fleet.routes.configuration.limits
+
     def _update_members(self, now: float) -> None:
         self._peers.set_records(self._fleet.instances.values(), now)
         self._reports.update_members()
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -41,6 +41,16 @@
     assert (wrong_key[0], no_route[0]) == (401, 404)
 
 
+# Guards against a configuration that arrives before the listener for callers
+# has been started, so that reading the store fails and begins again.
+async def test_daemon_starts_without_errors(tmp_path):
+    async with run_fleet(tmp_path) as fleet:
+        gateway = await fleet.add("g1")
+        log_text = gateway.log_text()
+    assert '"instance is started"' in log_text
+    assert '"level":"ERROR"' not in log_text
+
+
 async def test_lost_answer_of_a_non_idempotent_request_is_not_repeated(
     tmp_path,
 ):
