Say ready only once callers can connect

Cause: the listener for readiness starts before the one for callers, and ready meant that the store had answered. Evidence: test_readiness.py, in which the listener for callers starts 0.5 s late: connection refused before, served after. Change: an instance is ready only once it listens for callers.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -90,6 +90,7 @@
         """Whether callers may send requests to this instance."""
         return (
             not self._leaving
+            and self._callers is not None
             and self._mirror.is_loaded
             and self._fleet.routes is not None
         )
