--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 import signal
 
 import aiohttp
@@ -41,6 +42,35 @@
     assert (wrong_key[0], no_route[0]) == (401, 404)
 
 
+def _ignores(process, number):
+    """Returns whether a process ignores a signal or handles it itself."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn", "SigCgt"))
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
+
+
+# Guards against a daemon that is ended by a SIGHUP while it starts.
+async def test_sighup_during_the_start_does_not_end_the_daemon(tmp_path):
+    async with run_fleet(tmp_path) as fleet:
+        start = asyncio.create_task(fleet.add("g1"))
+        async with asyncio.timeout(10):
+            while not fleet.gateways or fleet.gateways[0].process is None:
+                await asyncio.sleep(0.001)
+            gateway = fleet.gateways[0]
+            while not _ignores(gateway.process, signal.SIGHUP):
+                await asyncio.sleep(0.001)
+        assert "instance is started" not in gateway.log_text()
+        while not start.done():
+            gateway.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+        await start
+        assert (await send_request(gateway))[0] == 200
+
+
 # Guards against a configuration that arrives before the listener for callers
 # has been started, so that reading the store fails and begins again.
 async def test_daemon_starts_without_errors(tmp_path):
