Let servers in need into the soak

Faults: servers that name a limit, that turn everything away and ask for rest, and that say that they leave; several at once, beside kills, stops and cuts of gateways. Checks LIMIT, BUDGET and LEAVING with the users' bounds; a restart, freeze or cut of the gateway, or a fault of the server or its link, excuses it. Each check is tested with a record that breaks it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 
 from radishmux.registry import Registry
-from soak.records import Call, Disruption, History, Run
+from soak.records import Arrival, Call, Disruption, History, Run
 
 CONTACT_S = 4.0
 CONFIG_APPLY_S = 2.5
@@ -24,6 +25,12 @@
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERRUN = 0.1
 QUOTA_SLACK = 20
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERRUN = 1.5
+LIMIT_SLACK = 5
+# What a server says binds a gateway this long after its response.
+NOTICE_S = 0.5
+MAX_DURING_REST = 2
 RECOVERY_S = 15.0
 RECOVERED_SHARE = 0.25
 # These statuses say that a request has not run and never will.
@@ -154,6 +161,99 @@
             yield Violation("DRAIN", run.at, detail)
 
 
+def _by_server(
+    history: History,
+) -> Iterator[tuple[str, list[tuple[Arrival, Call]]]]:
+    """Yields each server with the requests that reached it, by time."""
+    calls = {call.id: call for call in history.calls}
+    by_server = collections.defaultdict(list)
+    for arrival in sorted(history.arrivals, key=lambda one: one.at):
+        call = calls.get(arrival.id)
+        if call is not None:
+            by_server[arrival.server].append((arrival, call))
+    yield from by_server.items()
+
+
+def _is_calm(
+    history: History, server: str, gateway: str, since: float, until: float
+) -> bool:
+    """Whether nothing was wrong with a server and a gateway in a time."""
+    return not any(
+        one.target in (server, gateway)
+        and one.since <= until
+        and one.until >= since
+        for one in history.disruptions
+    )
+
+
+@CHECKS.register("LIMIT")
+def _limits(history: History) -> Iterator[Violation]:
+    for server, arrived in _by_server(history):
+        first_at = math.inf
+        told_at: dict[str, float] = {}
+        counted: collections.deque[float] = collections.deque()
+        for arrival, call in arrived:
+            at, gateway = arrival.at, call.gateway
+            if arrival.limit_per_s is None:
+                first_at = math.inf
+                told_at.clear()
+                counted.clear()
+                continue
+            first_at = min(first_at, at)
+            if call.status == 200:
+                told_at.setdefault(gateway, call.ended_at)
+            told = told_at.get(gateway, math.inf)
+            since = min(told, at - CONTACT_S)
+            if at < max(told + NOTICE_S, first_at + CONTACT_S) or not _is_calm(
+                history, server, gateway, since, at
+            ):
+                continue
+            counted.append(at)
+            while counted[0] < at - LIMIT_WINDOW_S:
+                counted.popleft()
+            most = LIMIT_OVERRUN * arrival.limit_per_s * LIMIT_WINDOW_S
+            if len(counted) > most + LIMIT_SLACK:
+                detail = f"{server}: {len(counted)}, {most + LIMIT_SLACK:g}"
+                yield Violation("LIMIT", at, f"{detail} allowed")
+                break
+
+
+@CHECKS.register("BUDGET")
+def _rests(history: History) -> Iterator[Violation]:
+    for server, arrived in _by_server(history):
+        for arrival, call in arrived:
+            if arrival.rest_s is None:
+                continue
+            since = arrival.at + NOTICE_S
+            until = arrival.at + arrival.rest_s
+            count = sum(
+                since <= other.at <= until and one.gateway == call.gateway
+                for other, one in arrived
+            )
+            if count > MAX_DURING_REST and _is_calm(
+                history, server, call.gateway, arrival.at - CONTACT_S, until
+            ):
+                detail = f"{server} got {count} of {call.gateway} in its rest"
+                yield Violation("BUDGET", arrival.at, detail)
+                break
+
+
+@CHECKS.register("LEAVING")
+def _leaving_servers(history: History) -> Iterator[Violation]:
+    """The users' DRAIN, for servers that say in responses that they leave."""
+    for server, arrived in _by_server(history):
+        told_at: dict[str, float] = {}
+        for arrival, call in arrived:
+            if arrival.leaving and call.status == 200:
+                told_at.setdefault(call.gateway, call.ended_at)
+            told = told_at.get(call.gateway, math.inf)
+            if call.sent_at > told + DRAIN_S and _is_calm(
+                history, server, call.gateway, told, arrival.at
+            ):
+                detail = f"{call.id} at {server}, {call.sent_at - told:.2f} s"
+                yield Violation("LEAVING", arrival.at, f"{detail} after")
+
+
 @CHECKS.register("KEYS")
 def _withdrawn_keys(history: History) -> Iterator[Violation]:
     withdrawn = {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -149,3 +149,17 @@
 @KINDS.register("key_withdrawn")
 def _by_operator(rng: random.Random, schedule: Schedule) -> dict[str, object]:
     return {}
+
+
+@KINDS.register("server_limited")
+@KINDS.register("server_resting")
+def _in_need(rng: random.Random, schedule: Schedule) -> dict[str, object]:
+    return {
+        "target": _server(rng, schedule),
+        "for_s": round(rng.uniform(5.0, 10.0), 2),
+    }
+
+
+@KINDS.register("server_leaving")
+def _leaving(rng: random.Random, schedule: Schedule) -> dict[str, object]:
+    return {"target": _server(rng, schedule)}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,7 +13,7 @@
 
 from soak.callers import Target
 from soak.proxy import FaultProxy
-from soak.records import Act, Disruption, History, Run
+from soak.records import Act, Arrival, Disruption, History, Run
 from tests.gateway.fleet import Fleet, Gateway, config, server_entry
 from tests.standin_processes import StandIn, standin
 
@@ -153,6 +153,14 @@
             for line in path.read_bytes().splitlines()
         ]
 
+    def arrivals(self) -> list[Arrival]:
+        """Returns what reached all servers."""
+        return [
+            msgspec.json.decode(line, type=Arrival)
+            for path in self._folder.glob("s*.arrivals")
+            for line in path.read_bytes().splitlines()
+        ]
+
     def note(self, kind: str, subject: str) -> None:
         """Records an act that the store has acknowledged."""
         self._history.acts.append(
@@ -203,11 +211,19 @@
         server.name = f"s{server.number}-{server.starts}"
         server.draining = False
         record = self._folder / f"{server.name}.runs"
+        arrivals = self._folder / f"{server.name}.arrivals"
         server.stack = contextlib.AsyncExitStack()
         server.standin = await server.stack.enter_async_context(
             standin(
                 "platform_server",
-                arguments=("--name", server.name, "--record", str(record)),
+                arguments=(
+                    "--name",
+                    server.name,
+                    "--record",
+                    str(record),
+                    "--arrivals",
+                    str(arrivals),
+                ),
             )
         )
         await server.standin.control(work_ms=WORK_MS, slots=16)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -17,6 +17,9 @@
 _INJECT: Registry[str, Inject] = Registry("injection")
 # A process that has had SIGTERM is killed after the users' grace.
 _GRACE_S = 6.0
+# What servers in need name.
+LIMIT_PER_S = 2.0
+REST_S = 2.0
 
 
 class Injector:
@@ -177,6 +180,32 @@
             await asyncio.sleep(2.0)
             await self._fleet.start_server(server)
 
+    @_INJECT.register("server_limited")
+    async def _server_limited(self, fault: Fault) -> None:
+        await self._need(fault, "limit_per_s", LIMIT_PER_S)
+
+    @_INJECT.register("server_resting")
+    async def _server_resting(self, fault: Fault) -> None:
+        await self._need(fault, "rest_s", REST_S)
+
+    async def _need(self, fault: Fault, field: str, value: float) -> None:
+        """Lets a server say for a time what it needs."""
+        server = self._server(fault)
+        async with self._lock(f"server {server.number}"):
+            await server.standin.control(**{field: value})
+            await asyncio.sleep(fault.for_s)
+            await server.standin.control(**{field: None})
+
+    @_INJECT.register("server_leaving")
+    async def _server_leaving(self, fault: Fault) -> None:
+        server = self._server(fault)
+        async with self._lock(f"server {server.number}"):
+            await server.standin.control(leaving=True)
+            await asyncio.sleep(LEAVE_AFTER_S)
+            await self._fleet.stop_server(server)
+            await asyncio.sleep(2.0)
+            await self._fleet.start_server(server)
+
     @_INJECT.register("configuration")
     async def _configuration(self, fault: Fault) -> None:
         await self._fleet.configure()
--- a/soak/records.py
+++ b/soak/records.py
@@ -55,6 +55,26 @@
     target: str
 
 
+class Arrival(msgspec.Struct, kw_only=True):
+    """A request that reached a backend server, also if it was rejected.
+
+    Attributes:
+        id: Request id.
+        server: The server.
+        at: Unix seconds.
+        limit_per_s: Limit that the response names, or None.
+        rest_s: Seconds of rest that the rejection asks for, or None.
+        leaving: Whether the response says that the server leaves.
+    """
+
+    id: str
+    server: str
+    at: float
+    limit_per_s: float | None
+    rest_s: float | None
+    leaving: bool
+
+
 class Disruption(msgspec.Struct, kw_only=True):
     """A fault while it lasts, and what it touched.
 
@@ -91,6 +111,7 @@
     Attributes:
         calls: Requests of callers.
         runs: Requests that servers ran.
+        arrivals: Requests that reached servers.
         disruptions: Faults.
         acts: What the operator and the servers wrote.
         starts: Unix times at which each gateway was started.
@@ -101,6 +122,7 @@
 
     calls: list[Call] = []
     runs: list[Run] = []
+    arrivals: list[Arrival] = []
     disruptions: list[Disruption] = []
     acts: list[Act] = []
     starts: dict[str, list[float]] = {}
--- a/soak/run.py
+++ b/soak/run.py
@@ -83,6 +83,7 @@
         await asyncio.sleep(min(1.0, DEADLINE_S))
         history.ended_at = time.time()
         history.runs = fleet.runs()
+        history.arrivals = fleet.arrivals()
     return Outcome(
         schedule=schedule,
         violations=violations(history),
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -41,9 +41,15 @@
 class PlatformServerStandIn:
     """The HTTP handlers of the stand-in."""
 
-    def __init__(self, name: str, record: TextIO | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        record: TextIO | None = None,
+        arrivals: TextIO | None = None,
+    ) -> None:
         self._name = name
         self._record = record
+        self._arrivals = arrivals
         self._behaviour = Behaviour()
         self._running = 0
         self._ran: list[dict[str, str]] = []
@@ -62,14 +68,7 @@
         if headers.get("Target-Instance", self._name) != self._name:
             return web.Response(status=421, headers={"Instance-Id": self._name})
         rest_s = self._behaviour.rest_s
-        self._arrived.append(
-            {
-                "id": headers.get("Request-Id", ""),
-                "at": time.time(),
-                "rest_s": rest_s,
-                "leaving": self._behaviour.leaving,
-            }
-        )
+        self._note_arrival(headers.get("Request-Id", ""))
         if rest_s is not None:
             return web.Response(
                 status=503,
@@ -109,6 +108,21 @@
             headers["Server-Leaving"] = "1"
         return headers
 
+    def _note_arrival(self, request_id: str) -> None:
+        """Records that a request has come, and what its response will name."""
+        behaviour = self._behaviour
+        arrival = {
+            "id": request_id,
+            "at": time.time(),
+            "limit_per_s": behaviour.limit_per_s,
+            "rest_s": behaviour.rest_s,
+            "leaving": behaviour.leaving,
+        }
+        self._arrived.append(arrival)
+        if self._arrivals is not None:
+            line = arrival | {"server": self._name}
+            self._arrivals.write(msgspec.json.encode(line).decode() + "\n")
+
     def _note(self, request: web.Request) -> None:
         """Records that a request begins to run."""
         headers = request.headers
@@ -150,8 +164,15 @@
         type=argparse.FileType("a", bufsize=1),
         help="File for a line about each request that begins to run.",
     )
+    parser.add_argument(
+        "--arrivals",
+        type=argparse.FileType("a", bufsize=1),
+        help="File for a line about each request, also if it is rejected.",
+    )
     options = parser.parse_args()
-    app = PlatformServerStandIn(options.name, options.record).build()
+    app = PlatformServerStandIn(
+        options.name, options.record, options.arrivals
+    ).build()
     asyncio.run(serve(app, options.listen))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 from soak.checks import CHECKS, RECOVERY_S, violations
 from soak.faults import Fault, Schedule, draw
-from soak.records import Act, Call, Disruption, History, Run
+from soak.records import Act, Arrival, Call, Disruption, History, Run
 from soak.run import play
 from soak.shrink import shrink
 
@@ -44,6 +44,18 @@
     return Run(**(values | fields))
 
 
+def arrival(name="1", **fields):
+    values = {
+        "id": name,
+        "server": "s0",
+        "at": 10.05,
+        "limit_per_s": None,
+        "rest_s": None,
+        "leaving": False,
+    }
+    return Arrival(**(values | fields))
+
+
 def term(**fields):
     values = {"kind": "gateway_term", "target": "g0"}
     return Disruption(**(values | {"since": 9.5, "until": 12.0} | fields))
@@ -64,6 +76,28 @@
         runs=[run(at=9.0)],
         acts=[Act(kind="drain", subject="s0", at=5.0)],
     ),
+    "LIMIT": History(
+        calls=[
+            call(str(n), sent_at=n / 5, ended_at=n / 5 + 0.1) for n in range(60)
+        ],
+        arrivals=[
+            arrival(str(n), at=n / 5, limit_per_s=2.0) for n in range(60)
+        ],
+    ),
+    "BUDGET": History(
+        calls=[call(str(n), status=503) for n in range(4)],
+        arrivals=[
+            arrival("0", at=10.0, rest_s=2.0),
+            *(arrival(str(n), at=10.5 + n / 4) for n in range(1, 4)),
+        ],
+    ),
+    "LEAVING": History(
+        calls=[call("1", sent_at=5.0, ended_at=5.1), call("2", sent_at=7.7)],
+        arrivals=[
+            arrival("1", at=5.05, leaving=True),
+            arrival("2", at=7.8, leaving=True),
+        ],
+    ),
     "KEYS": History(
         calls=[call()],
         runs=[run()],
@@ -112,6 +146,17 @@
     assert [one.rule for one in violations(still)] == ["DRAIN"]
 
 
+@pytest.mark.parametrize("rule", ["LIMIT", "BUDGET", "LEAVING"])
+def test_restarted_gateways_and_broken_servers_are_excused(rule):
+    for target in ("g0", "s0"):
+        fault = Disruption(kind="pause", target=target, since=0.0, until=9.0)
+        late = Disruption(kind="pause", target=target, since=7.0, until=9.0)
+        history = msgspec.structs.replace(
+            BROKEN[rule], disruptions=[fault, late]
+        )
+        assert violations(history) == []
+
+
 def test_schedules_repeat_with_their_seed():
     assert draw(5, 20.0) == draw(5, 20.0)
     assert draw(5, 20.0) != draw(6, 20.0)
