Ask for at most three limited servers before a request is refused

What callers saw: nothing yet; if all servers of a service name limits that are used up, a request asks one after the other, each for a round trip, in other regions 0.11 s, and is refused only near its deadline. Cause: a denied permit led to the next server without a bound. Change: after three denials only servers that name no limit are left; without one the request is refused at once.

--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -35,6 +35,7 @@
     PlacementRequest,
     object_key,
 )
+from radishmux.steer.servers import Server
 from radishmux.steer.split import DestinationSplit
 from radishmux.verdict import Refusal, Verdict
 
@@ -53,6 +54,10 @@
 # minimum delay.
 HEDGE_DELAY_FACTOR = 3.0
 MIN_HEDGE_DELAY_S = 0.25
+# Limited servers that a request asks for, one after the other. Each question
+# takes up to a round trip between regions, and a request that is denied several
+# times will hardly get a permit of the next server.
+MAX_DENIALS = 3
 # Callers honour a Retry-After of up to a third of their remaining time.
 MAX_RETRY_AFTER_FRACTION = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -310,14 +315,19 @@
         return self._placement.choose(
             placement_request,
             self._fleet.usable_servers(state.service, state.regions, rule),
-            lambda server: (
-                server.name not in state.tried_servers
-                and server.name not in state.unavailable_servers
-                and self._sender.may_send(server, now)
-            ),
+            lambda server: self._may_use(state, server, now),
             now,
         )
 
+    def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
+        """Whether a request may go to a server that is not paused."""
+        denied = state.unavailable_servers
+        if server.name in state.tried_servers or server.name in denied:
+            return False
+        if len(denied) >= MAX_DENIALS and self._sender.needs_permit(server):
+            return False
+        return self._sender.may_send(server, now)
+
     def _check_attempt(
         self, state: RequestState, choice: Choice | None, now: float
     ) -> str | None:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -105,6 +105,10 @@
         """Whether a server may get a request now; cold ones have a limit."""
         return not server.is_cold(now) or self._cold_limiter.allows(server, now)
 
+    def needs_permit(self, server: Server) -> bool:
+        """Whether a server names a limit, so that requests may be denied."""
+        return self._permits.is_required(server)
+
     def prune(self) -> None:
         """Closes idle connections that are about to expire.
 
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -17,7 +17,7 @@
 from radishmux.gateway.events import ConfigurationPut, ServerPut
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rate_limiter import Grant
-from radishmux.gateway.request_flow import RequestFlow
+from radishmux.gateway.request_flow import MAX_DENIALS, RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.platform import dialect
 from radishmux.settings.gateway import Bounds
@@ -40,14 +40,18 @@
     An outcome is a response, or a tuple of a delay in seconds and a response.
     """
 
-    def __init__(self, *outcomes):
+    def __init__(self, *outcomes, limited=()):
         self.outcomes = list(outcomes)
+        self.limited = limited
         self.servers = []
         self.cancelled = 0
 
     def may_send(self, server, now):
         return True
 
+    def needs_permit(self, server):
+        return server.name in self.limited
+
     async def send(self, attempt):
         self.servers.append(attempt.choice.server.name)
         outcome = self.outcomes.pop(0)
@@ -354,3 +358,19 @@
     assert float(dict(response.headers)["Retry-After"]) > 0
     assert len(set(sender.servers)) == 2
     assert b'"last_failure":"limited"' in lines.lines[0]
+
+
+# Guards against requests that ask one limited server after the other, up to a
+# round trip between regions each, until their time is over.
+async def test_request_is_not_kept_waiting_for_permits_of_all_servers():
+    names = [f"s{n}" for n in range(9)]
+    sender = FakeSender(*[NOT_SENT] * 3, OK, limited=names[:8])
+    flow, _ = make_flow(sender, servers=9)
+    response = await send_request(flow)
+    assert response.status == 200
+    assert sender.servers == [*names[:3], "s8"]
+
+    sender = FakeSender(*[NOT_SENT] * 3, limited=names)
+    flow, _ = make_flow(sender, servers=9)
+    assert (await send_request(flow)).status == 503
+    assert len(sender.servers) == MAX_DENIALS
