Bound the wait that a peer names for a permit

What callers saw: nothing; a peer's malformed answer could have named weeks for which its server is left alone. Cause: the wait was taken as it came; the holder's own bound is 1 s. Change: at most that bound. Tests with malformed questions and answers: no limit ends, no wait above 1 s, no error.

--- a/src/radishmux/gateway/send_permits.py
+++ b/src/radishmux/gateway/send_permits.py
@@ -18,7 +18,7 @@
 from radishmux.peer.link import PeerUnavailable
 from radishmux.rendezvous import rank
 from radishmux.share.holders import TokenHolders
-from radishmux.share.permit_buckets import PermitBuckets
+from radishmux.share.permit_buckets import MAX_WAIT_S, PermitBuckets
 from radishmux.share.server_limits import ServerLimits
 from radishmux.steer.servers import Server
 from radishmux.telemetry.metrics import Metrics
@@ -204,7 +204,10 @@
         if not self._apply_limit(server, reply) or reply.wait_ms is None:
             logger.warning("permit of {} not used: {}", holder, reply)
             return None
-        return 0.0 if reply.granted else max(1, reply.wait_ms) / _MILLISECONDS
+        if reply.granted:
+            return 0.0
+        wait_s = max(1, reply.wait_ms) / _MILLISECONDS
+        return min(MAX_WAIT_S, wait_s)
 
     async def _on_request(self, message: Any, sender: Sender) -> Any:
         server = message.server
--- a/tests/gateway/test_send_permits.py
+++ b/tests/gateway/test_send_permits.py
@@ -12,6 +12,7 @@
 import pytest
 
 from radishmux.membership.hubs import FULL_MESH_MAX
+from radishmux.peer import messages
 from tests.gateway import virtual_fleet, virtual_loop
 from tests.gateway.parts import customer, server
 
@@ -224,3 +225,53 @@
         times = [at for at in wanted.arrived if at > recovered_at + 4.0]
         per_s = len(times) / (started_at + 16.0 - recovered_at - 4.0)
         assert per_s > 0.8 * WANTED_PER_S
+
+
+async def _ask_with(loop, change):
+    """Lets an instance ask for a permit, with a field of a message changed."""
+    fleet = virtual_fleet.VirtualFleet(loop, TERMS, 1)
+    await fleet.start_all()
+    await asyncio.sleep(2.0)
+    limited = server("i-0", "a-1")
+    asker = fleet.network.running["b-0"]
+    asker.permits.observe(limited, 2.0)
+    request = asker.bus.request
+
+    async def changed_request(name, message, timeout_s):
+        if not isinstance(message, messages.SendPermitRequest):
+            return await request(name, message, timeout_s)
+        change(message)
+        reply = await request(name, message, timeout_s)
+        change(reply)
+        return reply
+
+    asker.bus.request = changed_request
+    wait_s = await asker.permits.acquire(limited)
+    return wait_s, asker.permits.is_required(limited)
+
+
+# Guards against a malformed message that ends a limit, pauses a server for
+# long or raises an error.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("server", None),
+        ("limit_per_s", None),
+        ("limit_per_s", math.nan),
+        ("limit_per_s", math.inf),
+        ("limit_per_s", -7.0),
+        ("age_ms", None),
+        ("age_ms", -1),
+        ("wait_ms", None),
+        ("wait_ms", -5),
+        ("wait_ms", 2**31 - 1),
+    ],
+)
+def test_malformed_message_changes_no_limit(field, value):
+    def change(message):
+        if hasattr(message, field):
+            setattr(message, field, value)
+
+    wait_s, is_limited = virtual_loop.run(partial(_ask_with, change=change))
+    assert is_limited
+    assert 0 < wait_s <= 1.0
