Split the choice of a server from the request flow

The choice of the server for an attempt moves to gateway/server_chooser.py as it stands, with the description of why there is none; nothing else changes. 47 tests passed (request flow, daemon, readiness, docs).

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -27,6 +27,7 @@
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.send_permits import SendPermits
 from radishmux.gateway.sender import ServerSender
+from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.gateway.token_log import TokenLog
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.pipelined import PipelinedServer
@@ -284,8 +285,7 @@
         )
         flow = RequestFlow(
             self._fleet,
-            self._rollouts,
-            placement,
+            ServerChooser(self._fleet, self._rollouts, placement, self._sender),
             self._sender,
             self._rate_limiter,
             self._retry_budgets,
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -7,7 +7,7 @@
 import random
 
 from radishmux.clock import Clock
-from radishmux.config.routing import CustomerPolicy, HostRoute, RouteKind
+from radishmux.config.routing import CustomerPolicy, HostRoute
 from radishmux.dispatch.server_response import (
     NoResponse,
     NotSent,
@@ -22,20 +22,13 @@
 from radishmux.gateway.refusals import REFUSALS
 from radishmux.gateway.request_state import RequestState
 from radishmux.gateway.retry_budgets import RetryBudgets
-from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import Attempt, ServerSender
+from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
-from radishmux.shift.rollout import ANY_VERSION, VersionRule
 from radishmux.steer.host_routes import HostRoutes
-from radishmux.steer.placement import (
-    Choice,
-    Placement,
-    PlacementRequest,
-    object_key,
-)
-from radishmux.steer.servers import Server
+from radishmux.steer.placement import Choice
 from radishmux.steer.split import DestinationSplit
 from radishmux.verdict import Refusal, Verdict
 
@@ -54,10 +47,6 @@
 # minimum delay.
 HEDGE_DELAY_FACTOR = 3.0
 MIN_HEDGE_DELAY_S = 0.25
-# Limited servers that a request asks for, one after the other. Each question
-# takes up to a round trip between regions, and a request that is denied several
-# times will hardly get a permit of the next server.
-MAX_DENIALS = 3
 # Callers honour a Retry-After of up to a third of their remaining time.
 MAX_RETRY_AFTER_FRACTION = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -68,8 +57,7 @@
 
     Args:
         fleet: Routes, servers and evacuations.
-        rollouts: Says which versions a request may go to.
-        placement: Chooses the server of an attempt.
+        chooser: Chooses the server of an attempt.
         sender: Sends requests to servers.
         rate_limiter: Enforces the customers' rate limits.
         retry_budgets: Bounds the retries of each service.
@@ -81,8 +69,7 @@
     def __init__(
         self,
         fleet: FleetState,
-        rollouts: Rollouts,
-        placement: Placement,
+        chooser: ServerChooser,
         sender: ServerSender,
         rate_limiter: FleetRateLimiter,
         retry_budgets: RetryBudgets,
@@ -91,8 +78,7 @@
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
-        self._rollouts = rollouts
-        self._placement = placement
+        self._chooser = chooser
         self._sender = sender
         self._rate_limiter = rate_limiter
         self._retry_budgets = retry_budgets
@@ -231,7 +217,7 @@
             state.may_have_run |= bool(group.tasks)
             return self._give_up(state, "deadline_passed")
         if now >= group.next_attempt_at and self._may_try_again(state):
-            choice = self._choose(state, now)
+            choice = self._chooser.choose(state, now)
             reason = self._check_attempt(state, choice, now)
             if choice is not None and reason is None:
                 group.next_attempt_at = self._hedge_at(choice, now)
@@ -241,7 +227,7 @@
                 group.next_attempt_at = math.inf
             else:
                 expected_s = choice.expected_s if choice else math.inf
-                detail = self._describe_rejection(
+                detail = self._chooser.describe_rejection(
                     state, choice, reason or "", now
                 )
                 return self._give_up(state, detail, expected_s)
@@ -277,57 +263,6 @@
             group.next_attempt_at = now
         return None
 
-    def _choose(self, state: RequestState, now: float) -> Choice | None:
-        route = state.route
-        key = None
-        if route.affinity and state.call.affinity is not None:
-            key = object_key(route.name, state.call.affinity)
-        work = self._placement.work_times(state.service, route.name)
-        target_s = state.call.received_at + route.target_latency_s - now
-        placement_request = PlacementRequest(
-            state.service,
-            route.name,
-            key,
-            state.regions,
-            transfer_bytes=len(state.call.body)
-            + work.expected_bytes(route.kind is RouteKind.DOWNLOAD),
-            target_s=max(0.0, target_s),
-            left_s=state.deadline - now,
-            is_retry=bool(state.tried_servers),
-        )
-        rule = self._rollouts.next_rule(state.service, route.name, now)
-        choice = self._choose_with_rule(rule, state, placement_request, now)
-        if choice is None and rule.only is not None:
-            # No server of the rule's version can take the request.
-            fallback = VersionRule(never=rule.only)
-            choice = self._choose_with_rule(
-                fallback, state, placement_request, now
-            )
-        return choice
-
-    def _choose_with_rule(
-        self,
-        rule: VersionRule,
-        state: RequestState,
-        placement_request: PlacementRequest,
-        now: float,
-    ) -> Choice | None:
-        return self._placement.choose(
-            placement_request,
-            self._fleet.usable_servers(state.service, state.regions, rule),
-            lambda server: self._may_use(state, server, now),
-            now,
-        )
-
-    def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
-        """Whether a request may go to a server that is not paused."""
-        denied = state.unavailable_servers
-        if server.name in state.tried_servers or server.name in denied:
-            return False
-        if len(denied) >= MAX_DENIALS and self._sender.needs_permit(server):
-            return False
-        return self._sender.may_send(server, now)
-
     def _check_attempt(
         self, state: RequestState, choice: Choice | None, now: float
     ) -> str | None:
@@ -350,29 +285,6 @@
             return True
         return self._retry_budgets.try_retry(state.service, now)
 
-    def _describe_rejection(
-        self,
-        state: RequestState,
-        choice: Choice | None,
-        reason: str,
-        now: float,
-    ) -> str:
-        """Returns a reason with the figures that decided it, for the log."""
-        # Servers of any version: asking for the rollout's rule would count as
-        # another request.
-        servers = self._fleet.usable_servers(
-            state.service, state.regions, ANY_VERSION
-        )
-        left_ms = round(1000 * (state.deadline - now))
-        summary = f"{reason}: {len(servers)} servers, {left_ms} ms left"
-        if choice is None:
-            return summary
-        return (
-            f"{summary}, best {choice.server.name} with load {choice.load:.1f}"
-            f" of {choice.server.entry.slots} expected to take"
-            f" {round(1000 * choice.expected_s)} ms"
-        )
-
     def _start(
         self, state: RequestState, choice: Choice
     ) -> asyncio.Task[ServerResponse | NoResponse]:
--- /dev/null
+++ b/src/radishmux/gateway/server_chooser.py
@@ -0,0 +1,123 @@
+"""Chooses the backend server for an attempt at a request."""
+
+from __future__ import annotations
+
+from radishmux.config.routing import RouteKind
+from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.request_state import RequestState
+from radishmux.gateway.rollouts import Rollouts
+from radishmux.gateway.sender import ServerSender
+from radishmux.shift.rollout import ANY_VERSION, VersionRule
+from radishmux.steer.placement import (
+    Choice,
+    Placement,
+    PlacementRequest,
+    object_key,
+)
+from radishmux.steer.servers import Server
+
+# Limited servers that a request asks for, one after the other. Each question
+# takes up to a round trip between regions, and a request that is denied several
+# times will hardly get a permit of the next server.
+MAX_DENIALS = 3
+
+
+class ServerChooser:
+    """Chooses among the servers that a request may go to.
+
+    Args:
+        fleet: Servers and evacuations.
+        rollouts: Says which versions a request may go to.
+        placement: Compares the servers.
+        sender: Says which servers accept requests now.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetState,
+        rollouts: Rollouts,
+        placement: Placement,
+        sender: ServerSender,
+    ) -> None:
+        self._fleet = fleet
+        self._rollouts = rollouts
+        self._placement = placement
+        self._sender = sender
+
+    def choose(self, state: RequestState, now: float) -> Choice | None:
+        """Returns the server for the next attempt, or None if there is none.
+
+        Counts as a request in the rollout of the service.
+        """
+        route = state.route
+        key = None
+        if route.affinity and state.call.affinity is not None:
+            key = object_key(route.name, state.call.affinity)
+        work = self._placement.work_times(state.service, route.name)
+        target_s = state.call.received_at + route.target_latency_s - now
+        placement_request = PlacementRequest(
+            state.service,
+            route.name,
+            key,
+            state.regions,
+            transfer_bytes=len(state.call.body)
+            + work.expected_bytes(route.kind is RouteKind.DOWNLOAD),
+            target_s=max(0.0, target_s),
+            left_s=state.deadline - now,
+            is_retry=bool(state.tried_servers),
+        )
+        rule = self._rollouts.next_rule(state.service, route.name, now)
+        choice = self._choose_with_rule(rule, state, placement_request, now)
+        if choice is None and rule.only is not None:
+            # No server of the rule's version can take the request.
+            fallback = VersionRule(never=rule.only)
+            choice = self._choose_with_rule(
+                fallback, state, placement_request, now
+            )
+        return choice
+
+    def _choose_with_rule(
+        self,
+        rule: VersionRule,
+        state: RequestState,
+        placement_request: PlacementRequest,
+        now: float,
+    ) -> Choice | None:
+        return self._placement.choose(
+            placement_request,
+            self._fleet.usable_servers(state.service, state.regions, rule),
+            lambda server: self._may_use(state, server, now),
+            now,
+        )
+
+    def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
+        """Whether a request may go to a server that is not paused."""
+        denied = state.unavailable_servers
+        if server.name in state.tried_servers or server.name in denied:
+            return False
+        if len(denied) >= MAX_DENIALS and self._sender.needs_permit(server):
+            return False
+        return self._sender.may_send(server, now)
+
+    def describe_rejection(
+        self,
+        state: RequestState,
+        choice: Choice | None,
+        reason: str,
+        now: float,
+    ) -> str:
+        """Returns a reason with the figures that decided it, for the log."""
+        # Servers of any version: asking for the rollout's rule would count as
+        # another request.
+        servers = self._fleet.usable_servers(
+            state.service, state.regions, ANY_VERSION
+        )
+        left_ms = round(1000 * (state.deadline - now))
+        summary = f"{reason}: {len(servers)} servers, {left_ms} ms left"
+        if choice is None:
+            return summary
+        return (
+            f"{summary}, best {choice.server.name} with load {choice.load:.1f}"
+            f" of {choice.server.entry.slots} expected to take"
+            f" {round(1000 * choice.expected_s)} ms"
+        )
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -17,8 +17,9 @@
 from radishmux.gateway.events import ConfigurationPut, ServerPut
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rate_limiter import Grant
-from radishmux.gateway.request_flow import MAX_DENIALS, RequestFlow
+from radishmux.gateway.request_flow import RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
+from radishmux.gateway.server_chooser import MAX_DENIALS, ServerChooser
 from radishmux.platform import dialect
 from radishmux.settings.gateway import Bounds
 from radishmux.shift.rollout import ANY_VERSION
@@ -115,8 +116,7 @@
     lines = FakeLogStream()
     flow = RequestFlow(
         fleet,
-        FakeRollouts(),
-        Placement("a", "a-1"),
+        ServerChooser(fleet, FakeRollouts(), Placement("a", "a-1"), sender),
         sender,
         FakeRateLimiter(admits),
         retry_budgets,
@@ -325,10 +325,12 @@
     flow, lines = make_flow(FakeSender())
     for n in range(2):
         for _ in range(40):
-            flow._placement.state(f"s{n}").record_sent(SystemClock().now())
+            flow._chooser._placement.state(f"s{n}").record_sent(
+                SystemClock().now()
+            )
     assert (await send_request(flow)).status == 503
     # Each call of `next_rule` counts as a request that a version is exposed to.
-    assert flow._rollouts.rule_calls == 1
+    assert flow._chooser._rollouts.rule_calls == 1
     line = lines.lines[0].decode()
     assert "no_room: 2 servers, " in line
     assert " ms left, best s" in line
