--- a/soak/injector.py
+++ b/soak/injector.py
@@ -20,6 +20,8 @@
 # What servers in need name.
 LIMIT_PER_S = 2.0
 REST_S = 2.0
+# Time for which a server that says that it leaves goes on serving.
+SERVES_ON_S = 6.0
 
 
 class Injector:
@@ -201,7 +203,7 @@
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
             await server.standin.control(leaving=True)
-            await asyncio.sleep(LEAVE_AFTER_S)
+            await asyncio.sleep(SERVES_ON_S)
             await self._fleet.stop_server(server)
             await asyncio.sleep(2.0)
             await self._fleet.start_server(server)
