--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,8 @@
 from soak.run import play
 from soak.shrink import shrink
 
+# Schedules that once failed. sighup-while-starting: the process was ended by a
+# SIGHUP that came before the daemon handled it.
 CASES = sorted((pathlib.Path(__file__).parent / "soak_cases").glob("*.json"))
 
 
