Log and count requests whose callers have left

Callers saw nothing of it.

Cause: only answers and refusals were logged. Change: the server says why it cancels a handler (caller_left, connection_ends), and the gateway writes a line with the time, the route and the attempts in flight, and counts it with status 0. No decision changes.

--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -14,6 +14,9 @@
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Refusal
 
+# Value of the label `status` of requests that were not answered.
+_NO_ANSWER = 0
+
 _encoder = msgspec.json.Encoder()
 
 
@@ -58,6 +61,28 @@
         outcome = f"{refusal.reason} {refusal.status}"
         self._write(call, state, outcome, refusal.message, now)
 
+    def record_cancellation(
+        self,
+        call: Call,
+        state: RequestState | None,
+        reason: str,
+        now: float,
+    ) -> None:
+        """Records a request that ended without an answer.
+
+        Args:
+            call: The request.
+            state: Its state; None if it had not been admitted.
+            reason: Why it ended, such as `caller_left`.
+            now: Monotonic seconds.
+        """
+        self._count(call, state, reason, _NO_ANSWER, now)
+        detail = "not admitted"
+        if state is not None:
+            in_flight = len(state.tried_servers) - state.ended_attempts
+            detail = f"{in_flight} attempts in flight"
+        self._write(call, state, reason, detail, now)
+
     def _count(
         self,
         call: Call | None,
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -24,7 +24,7 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.sender import Attempt, ServerSender
 from radishmux.gateway.server_chooser import ServerChooser
-from radishmux.http.incoming import IncomingRequest
+from radishmux.http.incoming import CANCELLED, IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.steer.host_routes import HostRoutes
@@ -99,10 +99,19 @@
         call = self._dialect.read_call(request)
         if isinstance(call, Unavailable):
             return self._refuse(None, "malformed", detail=call.reason)
-        state = await self._admit(call)
-        if isinstance(state, Response):
-            return state
-        return await self._serve(state)
+        admitted: RequestState | Response | None = None
+        try:
+            admitted = await self._admit(call)
+            if isinstance(admitted, Response):
+                return admitted
+            return await self._serve(admitted)
+        except asyncio.CancelledError as error:
+            state = admitted if isinstance(admitted, RequestState) else None
+            reason = str(error) or CANCELLED
+            self._log.record_cancellation(
+                call, state, reason, self._clock.now()
+            )
+            raise
 
     # Admission.
 
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -10,7 +10,12 @@
 import httptools
 from loguru import logger
 
-from radishmux.http.incoming import Headers, IncomingRequest
+from radishmux.http.incoming import (
+    CALLER_LEFT,
+    CONNECTION_ENDS,
+    Headers,
+    IncomingRequest,
+)
 from radishmux.http.response import INVALID_REQUESTS, Response, render_head
 
 if TYPE_CHECKING:
@@ -90,10 +95,7 @@
         self._closing = True
         self._cancel_timer()
         self._discard_body()
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
-        self._pending.clear()
+        self._cancel_pending(CALLER_LEFT)
         self._transport = None
         self._server.remove_connection(self)
 
@@ -286,10 +288,7 @@
         Cancels later requests and half-closes the socket. The linger timer
         closes it completely.
         """
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
-        self._pending.clear()
+        self._cancel_pending(CONNECTION_ENDS)
         self._closing = True
         transport = self._transport
         assert transport is not None
@@ -297,6 +296,13 @@
             transport.write_eof()
         self._set_timer(LINGER_S, self._end_lingering)
 
+    def _cancel_pending(self, reason: str) -> None:
+        """Cancels the requests in flight and drops unsent responses."""
+        for pending in self._pending:
+            if pending.task is not None:
+                pending.task.cancel(reason)
+        self._pending.clear()
+
     def _end_lingering(self) -> None:
         """Closes the connection once the write buffer is empty."""
         assert self._transport is not None
--- a/src/radishmux/http/incoming.py
+++ b/src/radishmux/http/incoming.py
@@ -4,6 +4,14 @@
 
 Headers = list[tuple[str, str]]
 
+# Why a handler is cancelled: messages of its CancelledError.
+CALLER_LEFT = "caller_left"
+# The connection ends with the response to an earlier request. The caller sends
+# this one again, since it was not answered.
+CONNECTION_ENDS = "connection_ends"
+# The server stops, or no reason is known.
+CANCELLED = "cancelled"
+
 
 class IncomingRequest:
     """A completely received request.
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -121,8 +121,8 @@
 _GATEWAY = (
     _counter(
         "gateway_requests_total",
-        "Answers to callers of a gateway; outcome is 'answered' or the"
-        " refusal's reason.",
+        "Requests of callers of a gateway; outcome is 'answered', the"
+        " refusal's reason or, with status 0, why it was not answered.",
         "route",
         "outcome",
         "status",
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -20,6 +20,7 @@
 from radishmux.gateway.request_flow import RequestFlow
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.server_chooser import MAX_DENIALS, ServerChooser
+from radishmux.http.incoming import CALLER_LEFT
 from radishmux.platform import dialect
 from radishmux.settings.gateway import Bounds
 from radishmux.shift.rollout import ANY_VERSION
@@ -290,14 +291,16 @@
 
 async def test_attempts_are_cancelled_when_the_caller_disconnects():
     sender = FakeSender((5.0, OK))
-    flow, _ = make_flow(sender)
+    flow, lines = make_flow(sender)
     task = asyncio.create_task(send_request(flow))
     await asyncio.sleep(0.05)
-    task.cancel()
+    task.cancel(CALLER_LEFT)
     with pytest.raises(asyncio.CancelledError):
         await task
     await asyncio.sleep(0.01)
     assert sender.cancelled == 1
+    assert b'"outcome":"caller_left"' in lines.lines[0]
+    assert b'"detail":"1 attempts in flight"' in lines.lines[0]
 
 
 async def test_request_is_refused_at_once_if_there_is_no_server():
