Give up the requests of callers whose leaving was not read

Callers saw nothing; backend servers worked for callers that had left, and got requests of such callers (GONE, reported by the users).

Cause: a leaving was noticed only when the event loop read the end of input. At 16 unanswered requests, and while a caller does not take its answers, the connection is not read, and after a half-close it stayed open until all answers were taken. A process that stood still, or is behind, reads a request first and starts it; the end of input comes a turn of the loop later.

Change: the kernel is asked for the state of the connection (POLLRDHUP) before a request is started and, every 0.1 s, while a connection is not read. On a leaving the requests that run are cancelled, answers that are ready are still sent to a caller that has only half-closed. Input that is ignored is read on, so that closing does not reset the connection before they arrive.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -306,7 +306,10 @@
             await stack.enter_async_context(PipelinedServer(address, handler))
         self._callers = await stack.enter_async_context(
             PipelinedServer(
-                listen.caller, flow.handle, on_rejected=self._on_rejected
+                listen.caller,
+                flow.handle,
+                on_rejected=self._on_rejected,
+                on_not_started=flow.record_not_started,
             )
         )
         self._apply_caller_limits()
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -24,7 +24,11 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.sender import Attempt, ServerSender
 from radishmux.gateway.server_chooser import ServerChooser
-from radishmux.http.incoming import CANCELLED, IncomingRequest
+from radishmux.http.incoming import (
+    CALLER_LEFT,
+    CANCELLED,
+    IncomingRequest,
+)
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
 from radishmux.steer.host_routes import HostRoutes
@@ -113,6 +117,14 @@
             )
             raise
 
+    def record_not_started(self, request: IncomingRequest) -> None:
+        """Records a request that was not handled: its caller has left."""
+        call = self._dialect.read_call(request)
+        if isinstance(call, Call):
+            self._log.record_cancellation(
+                call, None, CALLER_LEFT, self._clock.now()
+            )
+
     # Admission.
 
     async def _admit(self, call: Call) -> RequestState | Response:
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
@@ -10,6 +11,7 @@
 import httptools
 from loguru import logger
 
+from radishmux.http._remote_end import RemoteEnd
 from radishmux.http.incoming import (
     CALLER_LEFT,
     CONNECTION_ENDS,
@@ -27,6 +29,8 @@
 # Time for which a connection discards input after its last response. Closing at
 # once could send a reset that destroys the response before the caller reads it.
 LINGER_S = 1.0
+# A check whether the caller has left is not repeated within this time.
+CHECK_VALID_S = 0.02
 # Longest pause between two reads of a request body.
 BODY_IDLE_S = 10.0
 # Size of a connection's write buffer above which it sends no further responses
@@ -41,11 +45,19 @@
         closes: Whether the connection ends after the response.
         held_bytes: Memory reserved for the body of the request.
         is_head: Whether the response is sent without its body.
+        request: The request, or None once its handler has been started.
         response: The response, or None while the request is processed.
         task: Runs the handler, or None once it has ended.
     """
 
-    __slots__ = ("closes", "held_bytes", "is_head", "response", "task")
+    __slots__ = (
+        "closes",
+        "held_bytes",
+        "is_head",
+        "request",
+        "response",
+        "task",
+    )
 
     def __init__(
         self, closes: bool, is_head: bool, held_bytes: int = 0
@@ -53,6 +65,7 @@
         self.closes = closes
         self.held_bytes = held_bytes
         self.is_head = is_head
+        self.request: IncomingRequest | None = None
         self.response: Response | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -64,6 +77,8 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._remote_end: RemoteEnd | None = None
+        self._checked_at = -math.inf
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingResponse] = deque()
         self._timer: asyncio.TimerHandle | None = None
@@ -87,6 +102,7 @@
         # Transports of uvloop are not subclasses of asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._remote_end = RemoteEnd(self._transport)
         self._server.add_connection(self)
         self._set_timer(self._server.limits.idle_timeout_s, self.close)
 
@@ -96,7 +112,7 @@
         self._cancel_timer()
         self._discard_body()
         self._cancel_pending(CALLER_LEFT)
-        self._transport = None
+        self._transport = self._remote_end = None
         self._server.remove_connection(self)
 
     def data_received(self, data: bytes) -> None:
@@ -148,8 +164,13 @@
         self._flush()
 
     def eof_received(self) -> bool:
-        """Closes the connection when the caller half-closes it."""
-        return False
+        """Gives up the requests in flight of a caller that has left.
+
+        Returns:
+            Whether the connection stays open for responses that are ready.
+        """
+        self._on_caller_left()
+        return self._transport is not None and not self._transport.is_closing()
 
     # Callbacks of the httptools parser.
 
@@ -222,10 +243,12 @@
             self._headers,
             body,
             self._received_at,
+            self.has_caller_left,
         )
         pending = _PendingResponse(
             not self._parser.should_keep_alive(), method == "HEAD", len(body)
         )
+        pending.request = request
         self._pending.append(pending)
         pending.task = self._loop.create_task(
             self._run_handler(pending, request)
@@ -237,11 +260,54 @@
         if len(self._pending) >= MAX_PIPELINED:
             self._pause_reading()
 
+    # Departure of the caller.
+
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed or half-closed the connection.
+
+        If so, its requests in flight are cancelled.
+        """
+        if self._remote_end is None:
+            return True
+        now = self._loop.time()
+        if now - self._checked_at < CHECK_VALID_S:
+            return False
+        self._checked_at = now
+        if not self._remote_end.is_closed():
+            return False
+        self._on_caller_left()
+        return True
+
+    def _on_caller_left(self) -> None:
+        """Cancels the requests in flight; sends responses that are ready.
+
+        A caller that has half-closed the connection may still read them.
+        """
+        ready: deque[_PendingResponse] = deque()
+        while self._pending and self._pending[0].response is not None:
+            ready.append(self._pending.popleft())
+        self._cancel_pending(CALLER_LEFT)
+        self._discard_body()
+        self._in_request = self._in_body = False
+        self._closing = True
+        self._resume_reading()
+        if ready:
+            ready[-1].closes = True
+            self._pending = ready
+            self._flush()
+        elif self.unsent_bytes:
+            self._close_after_response()
+        else:
+            self.close()
+
     # Sending of responses.
 
     async def _run_handler(
         self, pending: _PendingResponse, request: IncomingRequest
     ) -> None:
+        if self.has_caller_left():
+            return
+        pending.request = None
         try:
             pending.response = await self._server.handler(request)
         except asyncio.CancelledError:
@@ -273,9 +339,8 @@
                 return
         if self._writing_paused:
             return
-        if self._reading_paused and len(self._pending) < MAX_PIPELINED:
-            self._reading_paused = False
-            transport.resume_reading()
+        if len(self._pending) < MAX_PIPELINED:
+            self._resume_reading()
         if not self._pending and not self._in_request:
             if self._server.draining:
                 self.close()
@@ -301,6 +366,8 @@
         for pending in self._pending:
             if pending.task is not None:
                 pending.task.cancel(reason)
+            if pending.request is not None and reason == CALLER_LEFT:
+                self._server.report_not_started(pending.request)
         self._pending.clear()
 
     def _end_lingering(self) -> None:
@@ -383,9 +450,19 @@
         self._closing = True
 
     def _pause_reading(self) -> None:
-        if not self._reading_paused and self._transport is not None:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        # Input that is ignored is read on, since closing a socket with unread
+        # input resets the connection.
+        if self._reading_paused or self._closing or self._transport is None:
+            return
+        self._reading_paused = True
+        self._transport.pause_reading()
+        self._server.on_reading_paused(self)
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
+            self._server.on_reading_resumed(self)
 
     def _set_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._cancel_timer()
--- a/src/radishmux/http/incoming.py
+++ b/src/radishmux/http/incoming.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 Headers = list[tuple[str, str]]
 
 # Why a handler is cancelled: messages of its CancelledError.
@@ -13,6 +15,10 @@
 CANCELLED = "cancelled"
 
 
+def _stays() -> bool:
+    return False
+
+
 class IncomingRequest:
     """A completely received request.
 
@@ -22,9 +28,19 @@
         headers: Names in lower case, and values.
         body: The complete body.
         received_at: Monotonic time at which the header was complete, in s.
+        has_caller_left: Whether the caller has closed the connection. Asks the
+            kernel, so that it holds also before the event loop has read the
+            end of input. The handler is cancelled if it has.
     """
 
-    __slots__ = ("body", "headers", "method", "received_at", "target")
+    __slots__ = (
+        "body",
+        "has_caller_left",
+        "headers",
+        "method",
+        "received_at",
+        "target",
+    )
 
     def __init__(
         self,
@@ -33,12 +49,14 @@
         headers: Headers,
         body: bytes,
         received_at: float,
+        has_caller_left: Callable[[], bool] = _stays,
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.received_at = received_at
+        self.has_caller_left = has_caller_left
 
     def header(self, name: str) -> str | None:
         """Returns the first value of a header, or None.
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -22,6 +22,8 @@
 MAX_HELD_BYTES = 72 * 1024 * 1024
 # Memory for responses to callers that read slowly: half of MAX_HELD_BYTES.
 MAX_UNSENT_BYTES = 36 * 1024 * 1024
+# Period of the checks whether callers have left whose connections are not read.
+DEPARTURE_CHECK_S = 0.1
 _BACKLOG = 1024
 
 Handler = Callable[[IncomingRequest], Awaitable[Response]]
@@ -39,6 +41,8 @@
             each connection that is aborted because its caller is slow.
         max_unsent_bytes: Bytes of unsent responses above which connections
             of slow callers are aborted.
+        on_not_started: Called with each request that is not passed to the
+            handler because its caller has left.
     """
 
     def __init__(
@@ -48,9 +52,13 @@
         limits: CallerLimits | None = None,
         on_rejected: Callable[[str], None] | None = None,
         max_unsent_bytes: int = MAX_UNSENT_BYTES,
+        on_not_started: Callable[[IncomingRequest], None] | None = None,
     ) -> None:
+        self._on_not_started = on_not_started
         self._max_unsent_bytes = max_unsent_bytes
         self._slow_connections: set[Connection] = set()
+        self._unread_connections: set[Connection] = set()
+        self._departure_timer: asyncio.TimerHandle | None = None
         self._address = address
         self.handler = handler
         self.limits = limits or CallerLimits()
@@ -101,6 +109,8 @@
         trace: TracebackType | None,
     ) -> None:
         self.stop_listening()
+        if self._departure_timer is not None:
+            self._departure_timer.cancel()
         for connection in list(self._connections):
             connection.abort()
 
@@ -126,6 +136,29 @@
         """Removes a closed connection."""
         self._connections.discard(connection)
         self._slow_connections.discard(connection)
+        self._unread_connections.discard(connection)
+
+    def on_reading_paused(self, connection: Connection) -> None:
+        """Checks a connection that is not read until it is read again."""
+        self._unread_connections.add(connection)
+        if self._departure_timer is None:
+            self._set_departure_timer()
+
+    def on_reading_resumed(self, connection: Connection) -> None:
+        """Ends the checks of a connection."""
+        self._unread_connections.discard(connection)
+
+    def _set_departure_timer(self) -> None:
+        self._departure_timer = asyncio.get_running_loop().call_later(
+            DEPARTURE_CHECK_S, self._check_departures
+        )
+
+    def _check_departures(self) -> None:
+        self._departure_timer = None
+        for connection in list(self._unread_connections):
+            connection.has_caller_left()
+        if self._unread_connections:
+            self._set_departure_timer()
 
     def on_write_paused(self, connection: Connection) -> None:
         """Registers a connection whose write buffer is full.
@@ -164,6 +197,11 @@
         """Releases memory that was reserved for a request body."""
         self._held_bytes -= size
 
+    def report_not_started(self, request: IncomingRequest) -> None:
+        """Passes a request whose caller has left to `on_not_started`."""
+        if self._on_not_started is not None:
+            self._on_not_started(request)
+
     def report_rejection(self, reason: str) -> None:
         """Passes the reason of a rejection to `on_rejected`."""
         if self._on_rejected is not None:
--- a/tests/gateway/test_departed_callers.py
+++ b/tests/gateway/test_departed_callers.py
@@ -170,5 +170,6 @@
         await until(lambda: handler.running == 0, BOUND_S)
         data = await asyncio.wait_for(reader.read(), 10)
         writer.close()
+        await writer.wait_closed()
     assert data.count(b"HTTP/1.1 200") == 4
     assert len(data) > 4 * LARGE_BYTES
