Send no request on whose caller has left during a wait

Callers saw nothing; backend servers got requests of callers that had left while the request waited for a token, a permit or the next attempt (GONE).

Cause: what goes on after a wait goes on in the turn of the event loop that ends it. If that turn is long, callers leave during it, and the loop reads that only in the next one. The turns are long when many requests go on at once.

Timers that expire while the process stands still were not enough: uvloop and asyncio read the sockets first then, so that hypothesis 3 holds for long turns only.

Change: the sender asks again before it takes a permit and right before the first byte is written.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -89,7 +89,7 @@
         deadline: float,
         is_head: bool = False,
         accepts: Callable[[Headers], bool] = accept_all,
-        before_send: Callable[[], bool] = lambda: True,
+        before_send: Callable[[], str] = lambda: "",
     ) -> ServerResponse | NoResponse:
         """Sends a request once, without retries.
 
@@ -99,17 +99,18 @@
             is_head: Whether the method is HEAD, whose response has no body.
             accepts: Returns whether response headers belong to the response to
                 this request, and not to a late one to an earlier request.
-            before_send: Called right before the first byte is written; if it
-                returns False, the request is not sent.
+            before_send: Called right before the first byte is written. The
+                request is not sent if it returns a reason.
         """
         connection = self._acquire_idle()
         if connection is None:
             connection = await self._connect(deadline)
         if isinstance(connection, NoResponse):
             return connection
-        if not before_send():
+        reason = before_send()
+        if reason:
             self._release(connection)
-            return NotSent("stopped")
+            return NotSent(reason)
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
                 return await connection.send(payload, is_head, accepts)
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -32,11 +32,13 @@
         remaining_s: Seconds after `received_at` for which the caller waits
             for the answer; None if the caller did not say.
         received_at: Monotonic time at which the head was complete.
+        has_caller_left: Whether nobody waits for the answer any more.
     """
 
     __slots__ = (
         "affinity",
         "body",
+        "has_caller_left",
         "headers",
         "host",
         "key",
@@ -62,6 +64,7 @@
         affinity: str | None,
         remaining_s: float | None,
         received_at: float,
+        has_caller_left: Callable[[], bool],
     ) -> None:
         self.host = host
         self.path = path
@@ -74,6 +77,7 @@
         self.affinity = affinity
         self.remaining_s = remaining_s
         self.received_at = received_at
+        self.has_caller_left = has_caller_left
 
 
 class ExecutionReport:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -18,6 +18,7 @@
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.send_permits import SendPermits
+from radishmux.http.incoming import CALLER_LEFT
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_state import LoadReport
@@ -144,6 +145,8 @@
     async def _send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         server = attempt.choice.server
         server_state = self._placement.state_of(server)
+        if attempt.call.has_caller_left():
+            return NotSent(CALLER_LEFT)
         if self._permits.is_required(server):
             wait_s = await self._permits.acquire(server)
             if wait_s > 0:
@@ -207,16 +210,17 @@
             attempt.deadline,
             call.method == "HEAD",
             lambda headers: self._dialect.is_response_to(call, headers),
-            # The server may have asked for rest, or said that it leaves,
-            # while a permit or a connection was awaited.
-            lambda: self._is_wanted(server),
+            # Much may have changed while a permit or a connection was awaited.
+            lambda: self._obstacle(call, server),
         )
 
-    def _is_wanted(self, server: Server) -> bool:
-        """Whether a server accepts requests of this instance at all."""
+    def _obstacle(self, call: Call, server: Server) -> str:
+        """Returns why a request must not be sent now; empty if it may be."""
+        if call.has_caller_left():
+            return CALLER_LEFT
         state = self._placement.state_of(server)
         is_resting = state.rest_until > self._clock.now()
-        return not (is_resting or server.is_leaving)
+        return "stopped" if is_resting or server.is_leaving else ""
 
     def _record_failure(
         self, attempt: Attempt, outcome: NoResponse, now: float
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -67,6 +67,7 @@
         affinity=affinity,
         remaining_s=None if deadline_ms is None else deadline_ms / 1000,
         received_at=request.received_at,
+        has_caller_left=request.has_caller_left,
     )
 
 
