Cancel the handlers of callers whose leaving sanic does not read

Callers saw nothing; radishmuxd kept a place in the queue for uploads whose callers had left, and sent them on when a slot became free. A request in front of a large one went on too. The cause is that of the gateway's GONE: sanic stops reading while a handler does not take a body of more than 64 KB, or while such a request waits behind another one, and the end of input is not read.

Change: the kernel is asked every 0.1 s about connections that handle a request and are not being read, on the callers' and the peers' address; the handler of a departed caller is cancelled and counted as caller_gone.

--- a/src/radishmux/http/_remote_end.py
+++ b/src/radishmux/http/_remote_end.py
@@ -5,6 +5,8 @@
 import asyncio
 import select
 
+# Period of the checks of connections that are not being read.
+DEPARTURE_CHECK_S = 0.1
 # POLLERR and POLLHUP are reported as well, without being asked for.
 _CLOSED = select.POLLRDHUP
 
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -14,6 +14,7 @@
 
 from radishmux.config.routing import CallerLimits
 from radishmux.http._connection import Connection
+from radishmux.http._remote_end import DEPARTURE_CHECK_S
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 
@@ -22,8 +23,6 @@
 MAX_HELD_BYTES = 72 * 1024 * 1024
 # Memory for responses to callers that read slowly: half of MAX_HELD_BYTES.
 MAX_UNSENT_BYTES = 36 * 1024 * 1024
-# Period of the checks whether callers have left whose connections are not read.
-DEPARTURE_CHECK_S = 0.1
 _BACKLOG = 1024
 
 Handler = Callable[[IncomingRequest], Awaitable[Response]]
--- a/src/radishmux/http/server.py
+++ b/src/radishmux/http/server.py
@@ -22,7 +22,10 @@
 from sanic.server import AsyncioServer
 
 from radishmux.http import headers as names
+from radishmux.http._remote_end import DEPARTURE_CHECK_S
+from radishmux.http.departure_monitor import DepartureMonitor
 from radishmux.http.refusals import TicketRefusal, encode, may_have_run, not_run
+from radishmux.tasks import repeat
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Refusal
 
@@ -200,7 +203,8 @@
         self._server: AsyncioServer | None = None
         self._address = ""
         self._header_monitor = HeaderTimeoutMonitor()
-        self._monitor_task: asyncio.Task[None] | None = None
+        self._departure_monitor = DepartureMonitor()
+        self._monitor_tasks: tuple[asyncio.Task[None], ...] = ()
 
     @property
     def address(self) -> str:
@@ -223,7 +227,12 @@
         await server.startup()
         await server.start_serving()
         self._server = server
-        self._monitor_task = asyncio.create_task(self._run_header_monitor())
+        self._monitor_tasks = (
+            asyncio.create_task(self._run_header_monitor()),
+            asyncio.create_task(
+                repeat(self._check_departures, DEPARTURE_CHECK_S, "departures")
+            ),
+        )
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
         return self
@@ -231,8 +240,8 @@
     async def __aexit__(self, *exc: object) -> None:
         if self._server is None:
             return
-        if self._monitor_task is not None:
-            self._monitor_task.cancel()
+        for task in self._monitor_tasks:
+            task.cancel()
         self.stop_listening()
         for connection in list(self._server.connections):
             connection.abort()
@@ -244,6 +253,10 @@
             assert self._server is not None
             self._header_monitor.check(self._server.connections, loop.time())
 
+    async def _check_departures(self) -> None:
+        assert self._server is not None
+        self._departure_monitor.check(self._server.connections)
+
     def stop_listening(self) -> None:
         """Accepts no new connections; open connections stay open."""
         if self._server is not None and self._server.server is not None:
--- a/tests/gateway/test_departed_callers.py
+++ b/tests/gateway/test_departed_callers.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 
 import pytest
 import uvloop
 
 from radishmux.http.pipelined import PipelinedServer
 from radishmux.http.response import Response
+from tests.departing_caller import LEAVE, DepartingCaller
 
 # The users' bound on work that goes on after a caller has left.
 BOUND_S = 0.5
@@ -53,38 +52,6 @@
         return Response(200, [])
 
 
-class Caller:
-    """A caller with a blocking socket, which acts while the loop stands still.
-
-    A test that does not await blocks the server like a stopped process.
-    """
-
-    def __init__(self, server):
-        host, _, port = server.address.rpartition(":")
-        self.socket = socket.create_connection((host, int(port)))
-
-    def send(self, data):
-        self.socket.sendall(data)
-
-    def close(self):
-        self.socket.close()
-
-    def reset(self):
-        linger = struct.pack("ii", 1, 0)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.socket.close()
-
-    def half_close(self):
-        self.socket.shutdown(socket.SHUT_WR)
-
-
-LEAVE = {
-    "close": Caller.close,
-    "reset": Caller.reset,
-    "half-close": Caller.half_close,
-}
-
-
 @contextlib.asynccontextmanager
 async def serving():
     handler = Handler()
@@ -103,7 +70,7 @@
 @pytest.mark.parametrize("count", [1, 15, 16, 40])
 async def test_leaving_cancels_all_pipelined_requests(count, leave):
     async with serving() as (server, handler):
-        caller = Caller(server)
+        caller = DepartingCaller(server.address)
         caller.send(SLOW * count)
         await until(lambda: handler.running == count)
         leave(caller)
@@ -114,7 +81,7 @@
 @pytest.mark.parametrize("leave", LEAVE.values(), ids=LEAVE)
 async def test_leaving_is_seen_behind_unread_requests(leave):
     async with serving() as (server, handler):
-        caller = Caller(server)
+        caller = DepartingCaller(server.address)
         caller.send(SLOW * 20)
         await until(lambda: handler.running == 20)
         caller.send(SLOW * 20)
@@ -128,7 +95,7 @@
 @pytest.mark.parametrize("leave", LEAVE.values(), ids=LEAVE)
 async def test_leaving_cancels_requests_behind_unread_responses(leave):
     async with serving() as (server, handler):
-        caller = Caller(server)
+        caller = DepartingCaller(server.address)
         caller.send(LARGE * 4 + SLOW * 3)
         await until(lambda: handler.running == 3)
         await until(lambda: server.unsent_bytes > 0)
@@ -143,14 +110,18 @@
     leave, is_kept
 ):
     async with serving() as (server, handler):
-        kept = [Caller(server) for _ in range(20)] if is_kept else []
+        kept = (
+            [DepartingCaller(server.address) for _ in range(20)]
+            if is_kept
+            else []
+        )
         await asyncio.sleep(0.1)
         # The loop stands still from here on.
-        callers = kept or [Caller(server) for _ in range(20)]
+        callers = kept or [DepartingCaller(server.address) for _ in range(20)]
         for caller in callers:
             caller.send(SLOW)
             leave(caller)
-        stayed = Caller(server)
+        stayed = DepartingCaller(server.address)
         stayed.send(SLOW)
         await until(lambda: handler.running > 0)
         await asyncio.sleep(0.1)
--- a/tests/gateway/test_waits_of_departed_callers.py
+++ b/tests/gateway/test_waits_of_departed_callers.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import socket
 import threading
 
 import pytest
@@ -30,6 +29,7 @@
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Placement
 from radishmux.telemetry.metrics import Metrics
+from tests.departing_caller import DepartingCaller
 from tests.gateway import parts
 
 WAIT_S = 0.15
@@ -196,16 +196,10 @@
         yield instance, servers, listener.address
 
 
-class Caller:
-    """A caller with a blocking socket."""
-
-    def __init__(self, address, number):
-        host, _, port = address.rpartition(":")
-        self.socket = socket.create_connection((host, int(port)))
-        self.socket.sendall(REQUEST % (number, number))
-
-    def leave(self):
-        self.socket.close()
+def call(address, number):
+    caller = DepartingCaller(address)
+    caller.send(REQUEST % (number, number))
+    return caller
 
 
 async def until(condition):
@@ -229,7 +223,7 @@
         if not self.is_over:
             self.is_over = True
             for caller in self.callers:
-                caller.leave()
+                caller.close()
             threading.Event().wait(TURN_S)
 
 
@@ -237,13 +231,13 @@
     """Makes the instance connect to the servers, so that it sends at once."""
     for server in servers:
         server.response = SHED
-    callers = [Caller(address, n) for n in range(CALLERS)]
+    callers = [call(address, n) for n in range(CALLERS)]
     await until(lambda: arrived(servers) >= CALLERS)
     await asyncio.sleep(0.2)
     for server in servers:
         server.arrived, server.response = 0, None
     for caller in callers:
-        caller.leave()
+        caller.close()
 
 
 # GONE: requests that had waited for tokens of their customer.
@@ -251,7 +245,7 @@
     async with running() as (instance, servers, address):
         await open_idle_connections(servers, address)
         instance.tokens.wait_s = WAIT_S
-        callers = [Caller(address, n) for n in range(CALLERS)]
+        callers = [call(address, n) for n in range(CALLERS)]
         departure = Departure(callers)
         instance.rollouts.before_choice = departure
         await until(lambda: departure.is_over)
@@ -264,7 +258,7 @@
     async with running() as (instance, servers, address):
         await open_idle_connections(servers, address)
         instance.permits.wait_s = WAIT_S
-        callers = [Caller(address, n) for n in range(CALLERS)]
+        callers = [call(address, n) for n in range(CALLERS)]
         departure = Departure(callers)
         instance.permits.after_wait = departure
         await until(lambda: departure.is_over)
@@ -278,7 +272,7 @@
         await open_idle_connections(servers, address)
         for server in servers:
             server.response, server.delay_s = SHED, WAIT_S
-        callers = [Caller(address, n) for n in range(CALLERS)]
+        callers = [call(address, n) for n in range(CALLERS)]
         await until(lambda: arrived(servers) == CALLERS)
         departure = Departure(callers)
         instance.rollouts.before_choice = departure
