Show with daemons that servers stop work for departed callers

Nothing changes for callers.

Evidence: 20 pipelined requests run at a server, their caller closes, resets or half-closes, and the server, whose handlers end with their connections, runs none of them half a second later; a daemon that is stopped with 40 requests unread sends none of them on.

Change: stand-ins cancel a handler when its connection closes and tell how many requests run.

--- a/standins/_cli.py
+++ b/standins/_cli.py
@@ -12,13 +12,17 @@
 async def serve(app: web.Application, listen: Sequence[str]) -> None:
     """Serves `app` until SIGTERM or SIGINT.
 
+    A handler is cancelled when its client closes the connection.
+
     Prints one line `listening ADDRESS` for each address when ready.
 
     Args:
         app: The application.
         listen: `ip:port` of each listener; port 0 takes a free one.
     """
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=0.2, handler_cancellation=True
+    )
     await runner.setup()
     for address in listen:
         host, _, port = address.rpartition(":")
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -139,7 +139,13 @@
             self._record.write(msgspec.json.encode(line).decode() + "\n")
 
     async def _show(self, request: web.Request) -> web.Response:
-        return _json({"ran": self._ran, "arrived": self._arrived})
+        return _json(
+            {
+                "ran": self._ran,
+                "arrived": self._arrived,
+                "running": self._running,
+            }
+        )
 
     async def _control(self, request: web.Request) -> web.Response:
         known = msgspec.to_builtins(self._behaviour)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -19,9 +19,9 @@
 
 # The users' bound on work that goes on after a caller has left.
 BOUND_S = 0.5
-# More than sanic reads ahead of a handler. The rest fits into the buffers of the
-# kernel: the end of input of a larger body would not reach this machine before
-# more of the body is read.
+# More than sanic reads ahead of a handler. The rest fits into the buffers of
+# the kernel: the end of input of a larger body would not reach this machine
+# before more of the body is read.
 LARGE_BYTES = 160_000
 HEAD = f"Host: a\r\nX-Radishmux-Key: {KEY}\r\n".encode()
 GET = b"GET /poles/status HTTP/1.1\r\n" + HEAD + b"\r\n"
