--- a/standins/_store_state.py
+++ b/standins/_store_state.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import time
 
 import msgspec
 
+# A copy is made twenty times a second: ten seconds.
+MAX_COPIES = 200
+
 
 class Pair(msgspec.Struct, frozen=True):
     """A key's value at one revision, as etcd describes it."""
@@ -48,6 +52,17 @@
         self.keys: set[str] = set()
 
 
+class Copy(msgspec.Struct, frozen=True):
+    """A store's state at one time; leases with their remaining seconds."""
+
+    at: float
+    revision: int
+    next_lease: int
+    pairs: dict[str, Pair]
+    events: list[Event]
+    leases: dict[int, tuple[int, float, frozenset[str]]]
+
+
 class StoreState:
     """What a store remembers; keys and values stay in base64."""
 
@@ -58,6 +73,58 @@
         self.events: list[Event] = []
         self.changed = asyncio.Condition()
         self._next_lease = 7_000
+        self._marked: Copy | None = None
+        self._copies: collections.deque[Copy] = collections.deque(
+            maxlen=MAX_COPIES
+        )
+
+    def copy(self, mark: bool = False) -> None:
+        """Keeps a copy of the state, to which `restore` can go back.
+
+        Args:
+            mark: Whether `restore(0)` goes back to it.
+        """
+        now = time.monotonic()
+        leases = {
+            number: (lease.ttl_s, lease.deadline - now, frozenset(lease.keys))
+            for number, lease in self.leases.items()
+        }
+        copy = Copy(
+            now,
+            self.revision,
+            self._next_lease,
+            dict(self.pairs),
+            list(self.events),
+            leases,
+        )
+        self._copies.append(copy)
+        if mark:
+            self._marked = copy
+
+    def restore(self, age_s: float) -> float:
+        """Goes back to the latest copy that is at least so old.
+
+        With an age of 0 it goes back to the marked copy.
+
+        Revisions and lease ids since then will be given out again. Leases go
+        on with the time that they had left.
+
+        Returns:
+            Monotonic time of the copy.
+        """
+        now = time.monotonic()
+        copies = [one for one in self._copies if one.at <= now - age_s]
+        copy = copies[-1] if copies else self._copies[0]
+        if age_s == 0 and self._marked is not None:
+            copy = self._marked
+        self.revision, self._next_lease = copy.revision, copy.next_lease
+        self.pairs, self.events = dict(copy.pairs), list(copy.events)
+        self.leases = {}
+        for number, (ttl_s, left_s, keys) in copy.leases.items():
+            lease = self.leases[number] = Lease(ttl_s)
+            lease.deadline = now + left_s
+            lease.keys = set(keys)
+        return copy.at
 
     def put(self, key: str, value: str, lease_id: int) -> None:
         """Writes a key in a revision of its own."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import collections
+import time
 from typing import Any
 
 import msgspec
@@ -28,11 +29,18 @@
         lose_answers: Coming writes whose answer is lost after they took
             effect.
         compact: Whether the history is dropped now.
+        copy: Whether a copy of the state is made now.
+        restore_s: Seconds by which the store goes back to an older copy now; 0:
+            to the copy that was made with `copy`; negative: it does not.
+        rewrite: Whether what `/put` wrote since then is written again.
     """
 
     down: str = "no"
     lose_answers: int = 0
     compact: bool = False
+    copy: bool = False
+    restore_s: float = -1.0
+    rewrite: bool = True
 
 
 class PlatformStoreStandIn:
@@ -43,6 +51,9 @@
         self._faults = Faults()
         self._calls: collections.Counter[str] = collections.Counter()
         self._oldest = 0
+        self._era = 1
+        # Monotonic time and value of the latest `/put` of each key.
+        self._outer_writes: dict[str, tuple[float, str | None]] = {}
 
     def build(self) -> web.Application:
         """Returns the application."""
@@ -62,6 +73,7 @@
         app.router.add_post("/put", self._put)
         app.router.add_get("/control", self._show)
         app.router.add_post("/control", self._control)
+        app.on_response_prepare.append(self._add_era)
         app.cleanup_ctx.append(self._expiry)
         return app
 
@@ -81,6 +93,11 @@
 
         return handle
 
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self._era)
+
     async def _drop(self, request: web.Request, how: str) -> None:
         while how == "hang" and request.transport is not None:
             await asyncio.sleep(_EXPIRY_PERIOD_S)
@@ -117,7 +134,7 @@
         prefix = request.query.get("PathPrefix", "")
         after = int(request.query["after"])
         wait_s = int(request.query["WaitMs"]) / 1000
-        if after < self._oldest:
+        if not self._oldest <= after <= self._state.revision:
             return web.Response(status=410)
 
         def found() -> list[Event]:
@@ -133,6 +150,8 @@
                 await self._state.changed.wait_for(found)
         except TimeoutError:
             pass
+        if after > self._state.revision:
+            return web.Response(status=410)
         events = [_event(event) for event in found()]
         return _json({"events": events, "AsOf": self._state.revision})
 
@@ -171,15 +190,35 @@
     async def _put(self, request: web.Request) -> web.Response:
         """Writes or, without a value, deletes the keys of an object."""
         for key, value in (await request.json()).items():
-            if value is None:
-                self._state.delete(key)
-            else:
-                self._state.put(key, value, 0)
+            self._outer_writes[key] = (time.monotonic(), value)
+            self._put_outer(key, value)
         await self._notify()
         return _json({"Revision": self._state.revision})
 
+    def _put_outer(self, key: str, value: str | None) -> None:
+        if value is None:
+            self._state.delete(key)
+        else:
+            self._state.put(key, value, 0)
+
+    async def _restore(self, age_s: float, rewrite: bool) -> None:
+        """Goes back to an older copy of the state, as another era."""
+        copied_at = self._state.restore(age_s)
+        self._era += 1
+        self._oldest = min(self._oldest, self._state.revision)
+        for key, (at, value) in self._outer_writes.items():
+            if rewrite and at > copied_at:
+                self._put_outer(key, value)
+        await self._notify()
+
     async def _show(self, request: web.Request) -> web.Response:
-        return _json({"calls": self._calls, "keys": list(self._state.pairs)})
+        return _json(
+            {
+                "calls": self._calls,
+                "keys": list(self._state.pairs),
+                "revision": self._state.revision,
+            }
+        )
 
     async def _control(self, request: web.Request) -> web.Response:
         known = msgspec.to_builtins(self._faults)
@@ -189,6 +228,12 @@
             self._faults.compact = False
             self._oldest = self._state.revision
             self._state.events.clear()
+        if self._faults.copy:
+            self._state.copy(mark=True)
+            self._faults.copy = False
+        if self._faults.restore_s >= 0:
+            await self._restore(self._faults.restore_s, self._faults.rewrite)
+            self._faults.restore_s = -1.0
         return _json(msgspec.to_builtins(self._faults))
 
     async def _expiry(self, app: web.Application) -> Any:
@@ -197,6 +242,7 @@
                 await asyncio.sleep(_EXPIRY_PERIOD_S)
                 if self._state.expire():
                     await self._notify()
+                self._state.copy()
 
         task = asyncio.create_task(run())
         yield
