Keep what operators and servers wrote while a restored store lacks it

Callers may be sent to an evacuated failure domain, to a server that has left, or to a bad version without its order, after the store has come back from an older copy: a list replaced evacuations, orders and servers, although the copy is older than what it replaces, and what others wrote is written again a little later.

Cause: a list was taken for the latest word. Change: after a restoration a list withdraws orders and evacuations only 2.3 s later, the time that servers have to register again, and servers have that time also if no outage was noticed. Entries that are no newer than the last one of a removed server do not bring it back; its next heartbeat does.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -385,9 +385,9 @@
     async def _housekeeping(self) -> None:
         now = self._clock.now()
         # Without the store, a missing entry does not mean that its server has
-        # gone.
+        # gone, or that an order was withdrawn.
         if not self._mirror.is_store_unreachable(now):
-            self._fleet.servers.expire(now)
+            self._fleet.expire(now)
         self._update_members(now)
         self._sender.prune()
 
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -22,7 +23,7 @@
 from radishmux.registry import Registry
 from radishmux.shift.rollout import VersionRule
 from radishmux.steer.host_routes import HostRoutes
-from radishmux.steer.servers import Server, ServerTable
+from radishmux.steer.servers import RETURN_GRACE_S, Server, ServerTable
 from radishmux.store.interface import KeyChange
 from radishmux.telemetry.logs import state_change
 
@@ -52,6 +53,11 @@
         self._evacuated: set[str] = set()
         self._instances: dict[str, InstanceRecord] = {}
         self._rollout_services: set[str] = set()
+        self._status_services: set[str] = set()
+        # Monotonic time until which a list withdraws no order and evacuation,
+        # and those that a list lacked since the store was restored.
+        self._restored_grace_until = -math.inf
+        self._missing: dict[Event, float] = {}
         self._is_listed = False
         self._listeners: list[Callable[[Event, float], None]] = []
         # By the parameters of `usable_servers`: the servers of the service when
@@ -142,12 +148,18 @@
         """Applies a list of all keys.
 
         Servers, evacuations, rollout orders and instances that are not in the
-        list are removed. The configuration stays in force.
+        list are removed. The configuration stays in force. After the store was
+        restored, evacuations and orders hold until the operators have had the
+        time to write them again.
         """
         events = [self._decode(change) for change in changes]
         present = [event for event in events if event is not None]
         for event in self._removals(present):
-            self._apply(event, now)
+            is_order = isinstance(event, (EvacuationPut, RolloutPut))
+            if is_order and now < self._restored_grace_until:
+                self._missing.setdefault(event, self._restored_grace_until)
+            else:
+                self._apply(event, now)
         for event in present:
             self._apply(event, now)
         self._apply(StoreListed(), now)
@@ -169,7 +181,27 @@
         """Notifies the server table that the store answers again."""
         self._servers.on_list_recovered(now, is_own)
 
+    def on_store_restored(self, now: float) -> None:
+        """Starts the time in which other parties write lost keys again."""
+        self._servers.on_list_recovered(now)
+        self._restored_grace_until = now + RETURN_GRACE_S
+
+    def expire(self, now: float) -> None:
+        """Removes what has not been written again since the store returned.
+
+        Must not be called while the store cannot be read.
+        """
+        self._servers.expire(now)
+        due = [event for event, at in self._missing.items() if now >= at]
+        for event in due:
+            self._apply(event, now)
+
     def _apply(self, event: Event, now: float) -> None:
+        if isinstance(event, EvacuationPut):
+            gone = EvacuationPut(event.failure_domain, False)
+            self._missing.pop(gone, None)
+        elif isinstance(event, RolloutPut):
+            self._missing.pop(RolloutPut(event.service, None), None)
         _handlers[type(event)](self, event, now)
         for callback in self._listeners:
             callback(event, now)
@@ -204,6 +236,11 @@
             RolloutPut(service, None)
             for service in self._rollout_services - orders
         ]
+        statuses = {e.service for e in present if isinstance(e, StatusPut)}
+        gone += [
+            StatusPut(service, None)
+            for service in self._status_services - statuses
+        ]
         gone += [
             InstancePut(name, None) for name in self._instances.keys() - names
         ]
@@ -271,7 +308,11 @@
 
     @_handlers.register(StatusPut)
     def _on_status(self, event: StatusPut, now: float) -> None:
-        """Does nothing, since only the rollouts use these events."""
+        """Notes which states are recorded; the rollouts use them."""
+        if event.status is None:
+            self._status_services.discard(event.service)
+        else:
+            self._status_services.add(event.service)
 
     @_handlers.register(InstancePut)
     def _on_instance(self, event: InstancePut, now: float) -> None:
--- a/src/radishmux/steer/servers.py
+++ b/src/radishmux/steer/servers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import msgspec
@@ -14,6 +15,8 @@
 # An entry that expired during an outage of the list is registered again within
 # about 2 s of the recovery; the rest covers the time until it is read.
 RETURN_GRACE_S = 2.3
+# Number of removed servers whose latest entries are kept.
+MAX_REMOVED = 1_000
 
 
 class ServerEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -100,6 +103,8 @@
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, tuple[Server, ...]] = {}
         self._return_grace_until = 0.0
+        # Latest entries of removed servers, the oldest removal first.
+        self._removed: OrderedDict[str, ServerEntry] = OrderedDict()
 
     def get(self, name: str) -> Server | None:
         """Returns a backend server, including draining ones, or None."""
@@ -135,10 +140,15 @@
 
         Returns:
             False if the entry was dropped because it is older than the known
-            entry of the server.
+            entry of the server, or no newer than the last one of a server that
+            was removed: a list restored from a copy may contain it again.
         """
         server = self._servers.get(entry.name)
         if server is None:
+            removed = self._removed.get(entry.name)
+            if removed is not None and not _is_newer(entry, removed):
+                return False
+            self._removed.pop(entry.name, None)
             region = self._regions.get(entry.failure_domain, "")
             self._servers[entry.name] = Server(entry, region, now)
             self._by_service.clear()
@@ -189,7 +199,13 @@
             if server.remove_at is None:
                 server.remove_at = self._return_grace_until
             return
-        del self._servers[name]
+        self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._removed[name] = self._servers.pop(name).entry
+        self._removed.move_to_end(name)
+        while len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
         self._by_service.clear()
 
     def replace(self, entries: Iterable[ServerEntry], now: float) -> None:
@@ -233,9 +249,7 @@
             if server.remove_at is not None and now >= server.remove_at
         )
         for name in gone:
-            del self._servers[name]
-        if gone:
-            self._by_service.clear()
+            self._drop(name)
         return gone
 
 
@@ -256,8 +270,20 @@
 
     Sequence numbers restart with each start of a server.
     """
-    if entry.started_ms and current.started_ms:
-        if entry.started_ms != current.started_ms:
-            return entry.started_ms < current.started_ms
-        return entry.sequence < current.sequence
-    return False
+    return _has_order(entry, current) and _age_key(entry) < _age_key(current)
+
+
+def _is_newer(entry: ServerEntry, removed: ServerEntry) -> bool:
+    """Returns whether an entry may have been written after a removed one."""
+    return not _has_order(entry, removed) or (
+        _age_key(entry) > _age_key(removed)
+    )
+
+
+def _has_order(entry: ServerEntry, other: ServerEntry) -> bool:
+    """Returns whether the two entries tell which one was written first."""
+    return bool(entry.started_ms and other.started_ms)
+
+
+def _age_key(entry: ServerEntry) -> tuple[int, int]:
+    return entry.started_ms, entry.sequence
