Record states of roll-outs again that the store has lost

Callers may get a bad version again after the store has come back from an older copy, and operators read a roll-out as running that had ended: its final state was lost, or its order was read as a new one, whose evidence begins anew.

Cause: an instance forgot a final state when the store did not have it, and took the revision of an order, which another era changes, for its identity. Change: a final state gives way only to another final one or to a new order, and is recorded again if a list lacks it; an order with the same content in a later era goes on with its evidence and its time.

--- a/src/radishmux/gateway/rollouts.py
+++ b/src/radishmux/gateway/rollouts.py
@@ -17,6 +17,7 @@
     VersionRule,
 )
 from radishmux.store.interface import ObservableStore
+from radishmux.store.revision import era_of
 from radishmux.tasks import BackgroundTask, repeat
 from radishmux.telemetry.logs import state_change
 
@@ -64,9 +65,11 @@
         self._rollouts: dict[str, Rollout] = {}
         self._orders: dict[str, RolloutPut] = {}
         self._statuses: dict[str, StatusPut] = {}
+        # Final states by service, also if the store has lost them.
+        self._final: dict[str, RolloutStatus] = {}
         # By service: state that is not recorded yet, and the monotonic time
         # since when this instance has wanted it recorded.
-        self._unrecorded_since: dict[str, tuple[RolloutState, float]] = {}
+        self._unrecorded_since: dict[str, tuple[RolloutStatus, float]] = {}
 
     @property
     def active(self) -> dict[str, Rollout]:
@@ -79,6 +82,8 @@
             self._on_order(event, now)
         elif isinstance(event, StatusPut):
             self._statuses[event.service] = event
+            if event.status is not None and event.status.is_final:
+                self._final[event.service] = event.status
             self._apply_status(event.service)
 
     def next_rule(self, service: str, route: str, now: float) -> VersionRule:
@@ -92,7 +97,7 @@
         rollout = self._rollouts.get(service)
         if rollout is not None:
             return rollout.next_rule(route, now)
-        status = self._recorded_status(service)
+        status = self._final.get(service)
         if status is not None and status.state is RolloutState.ROLLED_BACK:
             return VersionRule(never=status.version)
         return ANY_VERSION
@@ -152,6 +157,10 @@
         if known is not None and known.revision >= event.revision:
             return
         self._orders[event.service] = event
+        if known is not None and _is_same_order(known, event):
+            self._apply_status(event.service)
+            return
+        self._final.pop(event.service, None)
         slack = SLACK_FRACTION * self._bounds.exposure_slack
         self._rollouts[event.service] = Rollout(
             event.order,
@@ -162,10 +171,6 @@
         )
         self._apply_status(event.service)
 
-    def _recorded_status(self, service: str) -> RolloutStatus | None:
-        recorded = self._statuses.get(service)
-        return recorded.status if recorded is not None else None
-
     def _apply_status(self, service: str) -> None:
         """Applies the recorded state to the rollout.
 
@@ -185,18 +190,42 @@
     async def _step(self) -> None:
         self.evaluate()
         now = self._clock.now()
-        for service, rollout in list(self._rollouts.items()):
-            wanted = rollout.state_to_report(now)
-            if self._is_recorded(service, rollout, wanted):
-                self._unrecorded_since.pop(service, None)
-                continue
-            state, since = self._unrecorded_since.get(service, (wanted, now))
-            if state is not wanted:
+        unrecorded = self._unrecorded_states(now)
+        for service in self._unrecorded_since.keys() - unrecorded.keys():
+            del self._unrecorded_since[service]
+        rank = self._instance_names().index(self._instance)
+        for service, (status, reason) in unrecorded.items():
+            known, since = self._unrecorded_since.get(service, (status, now))
+            if known != status:
                 since = now
-            self._unrecorded_since[service] = (wanted, since)
-            rank = self._instance_names().index(self._instance)
+            self._unrecorded_since[service] = (status, since)
             if now - since >= WRITE_STAGGER_S * rank:
-                await self._write(service, rollout, wanted)
+                await self._write(service, status, reason)
+
+    def _unrecorded_states(
+        self, now: float
+    ) -> dict[str, tuple[RolloutStatus, str]]:
+        """Returns the states that the store lacks, with their reasons."""
+        found = {
+            service: (status, "lost by the store")
+            for service, status in self._final.items()
+            if service not in self._rollouts and self._is_lost(service)
+        }
+        for service, rollout in self._rollouts.items():
+            wanted = rollout.state_to_report(now)
+            if not self._is_recorded(service, rollout, wanted):
+                status = RolloutStatus(rollout.order.version, wanted)
+                found[service] = (status, rollout.fault or "")
+        return found
+
+    def _is_lost(self, service: str) -> bool:
+        """Whether a recorded state was missing in a list, not deleted."""
+        recorded = self._statuses.get(service)
+        return (
+            recorded is not None
+            and recorded.status is None
+            and recorded.revision == 0
+        )
 
     def _is_recorded(
         self, service: str, rollout: Rollout, wanted: RolloutState
@@ -210,18 +239,13 @@
             return False
         # A final state is never replaced, even if this instance would choose
         # another one.
-        return recorded.status.state in (
-            wanted,
-            RolloutState.COMPLETED,
-            RolloutState.ROLLED_BACK,
-        )
+        return recorded.status.is_final or recorded.status.state is wanted
 
     async def _write(
-        self, service: str, rollout: Rollout, wanted: RolloutState
+        self, service: str, status: RolloutStatus, reason: str
     ) -> None:
         recorded = self._statuses.get(service)
         revision = recorded.revision if recorded and recorded.status else 0
-        status = RolloutStatus(rollout.order.version, wanted)
         written = await self._store.compare_and_swap(
             self._status_key(service),
             revision,
@@ -235,15 +259,22 @@
             state_change(
                 f"state of {service}",
                 "not recorded",
-                wanted=wanted.value,
+                wanted=status.state.value,
                 reason=repr(written),
             )
             return
         state_change(
             f"rollout of {service}",
-            wanted.value,
+            status.state.value,
             version=status.version,
-            reason=rollout.fault or "",
+            reason=reason,
         )
-        self._statuses[service] = StatusPut(service, status, written.revision)
-        self._apply_status(service)
+        self.on_event(
+            StatusPut(service, status, written.revision), self._clock.now()
+        )
+
+
+def _is_same_order(known: RolloutPut, event: RolloutPut) -> bool:
+    """Whether an order was only read again, or written again, in a new era."""
+    is_new_era = era_of(event.revision) > era_of(known.revision)
+    return is_new_era and event.order == known.order
--- a/src/radishmux/shift/orders.py
+++ b/src/radishmux/shift/orders.py
@@ -15,6 +15,10 @@
     ROLLED_BACK = "rolled_back"
 
 
+# An instance never records another state after one of these for an order.
+FINAL_STATES = frozenset({RolloutState.COMPLETED, RolloutState.ROLLED_BACK})
+
+
 class RolloutOrder(msgspec.Struct, frozen=True):
     """An operator's order to roll out a version.
 
@@ -40,3 +44,8 @@
 
     version: str
     state: RolloutState
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no other state follows for the same order."""
+        return self.state in FINAL_STATES
--- a/src/radishmux/shift/rollout.py
+++ b/src/radishmux/shift/rollout.py
@@ -15,7 +15,12 @@
 import xxhash
 
 from radishmux.shift.evidence import Evidence
-from radishmux.shift.orders import RolloutOrder, RolloutState, RolloutStatus
+from radishmux.shift.orders import (
+    FINAL_STATES,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
 
 # Ends of the phases, as fractions of the time that the order allows.
 CANARY_END_FRACTION = 0.5
@@ -164,10 +169,16 @@
     def apply_status(self, status: RolloutStatus | None) -> None:
         """Applies the state that the fleet has recorded for the order.
 
+        A final state gives way to another final state only, since a restored
+        store may have lost it.
+
         Args:
             status: The recorded state; None if there is none. A state of
                 another version is ignored.
         """
+        is_final = status is not None and status.is_final
+        if self._recorded in FINAL_STATES and not is_final:
+            return
         if status is None or status.version != self._order.version:
             self._recorded = None
         else:
