Tell the eras of a restored store apart

Callers may be refused on a route that was added, or be served as before a change, after the store has come back from an older copy (CONFIG). An instance took the revisions of the lost seconds for those that were handed out again: its watch went on behind changes that it had never read, its writes could replace those of others, its feeds went to members with another history, and it renewed, and at its end ended, leases of other instances.

Cause: revisions and lease ids were compared across two histories, and nothing read the store's era. Class: a number that identifies something only together with the state of its issuer.

Change: a revision contains the era in its upper bits, so that all comparisons in the product order it rightly: watches, feeds and expected revisions of an earlier era are outdated; a lease of an earlier era has ended, and an instance that stops asks for its lease before it ends it. Reports between instances name the revision that was read, so that one whose watch hangs, or that is fed by a hub, lists the store within a report of the first that knows. An answer to a watch that was outdated meanwhile is dropped and not taken for a list.

--- a/src/radishmux/gateway/gossip_state.py
+++ b/src/radishmux/gateway/gossip_state.py
@@ -224,6 +224,7 @@
             members=self._unavailable_members(audience, now),
             vouches=audience is Audience.MEMBER,
             is_settled=self._is_settled,
+            store_revision=self._mirror.revision,
         )
         if request is not None:
             report.asks_who = not self._peers.knows(request.instance)
@@ -291,6 +292,7 @@
         if report.demands:
             self._divide(now)
         self._apply_rollouts(report, now)
+        self._mirror.on_peer_revision(report.store_revision)
         if report.feed is not None:
             self._mirror.apply_feed(
                 decode_feed(report.feed), now, period_factor
--- a/src/radishmux/membership/registrar.py
+++ b/src/radishmux/membership/registrar.py
@@ -61,14 +61,21 @@
         Call this when callers should use other instances.
         """
         await self._stop()
-        if self._lease_id:
-            revoked = await self._store.revoke_lease(
+        if not self._lease_id:
+            return
+        # If the store was restored since the last call, the id may be that of
+        # another instance's lease.
+        outcome: object = await self._store.keep_lease(
+            self._lease_id, CALL_TIMEOUT_S
+        )
+        if outcome == 0:
+            return
+        if not isinstance(outcome, Unavailable):
+            outcome = await self._store.revoke_lease(
                 self._lease_id, CALL_TIMEOUT_S
             )
-            if isinstance(revoked, Unavailable):
-                state_change(
-                    "registration", "left to lapse", reason=revoked.reason
-                )
+        if isinstance(outcome, Unavailable):
+            state_change("registration", "left to lapse", reason=outcome.reason)
 
     async def _run(self) -> None:
         await repeat(self._renew, RENEW_PERIOD_S, "registration")
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -219,6 +219,9 @@
   // Record of the sender, for a receiver that does not know it, and records of
   // its peers, for a receiver that is not settled yet.
   13: list<Introduction> introductions,
+  // Revision of the store up to which the sender has all changes; -1: none. An
+  // instance that hears of a later era lists the store again.
+  14: i64 store_revision = -1,
 }
 
 // Requests tokens from a customer's token holder. The holder removes the granted
--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -21,6 +21,8 @@
     KeyChange,
     Rejected,
 )
+from radishmux.store.revision import MAX_ERA, era_of, in_era, number_of
+from radishmux.telemetry.logs import state_change
 from radishmux.verdict import Verdict
 
 # Several round trips between regions. If a SYN packet is lost, or was sent
@@ -28,6 +30,8 @@
 # than the retransmission by the operating system.
 CONNECT_TIMEOUT_S = 0.5
 _REJECTED_STATUSES = frozenset({429, 503})
+# Number of restorations of the store, plus one, in each of its responses.
+_ERA = "store-era"
 
 
 class _Item(msgspec.Struct, rename="pascal"):
@@ -68,6 +72,11 @@
     """Client of the store at one address.
 
     It is an async context manager that closes its connections on exit.
+
+    The store may be restored from a copy: it then has lost its latest writes
+    and leases, and hands out their revisions and ids again. The era in its
+    responses tells. Revisions that were read in one era are outdated in a later
+    one, and leases that were granted have ended.
     """
 
     def __init__(self, address: str, clock: Clock) -> None:
@@ -80,6 +89,10 @@
             use_tcp_keepalive=True,
         )
         self._call_count = 0
+        # The latest era that a response named; 0 before the first one.
+        self._era = 0
+        # Era in which each lease was granted.
+        self._lease_eras: dict[int, int] = {}
 
     @property
     def calls(self) -> int:
@@ -114,20 +127,20 @@
         value = _decode_value(item)
         if value is None:
             return Unavailable(f"value of {key} is not base64")
-        return Entry(value, item.revision)
+        return Entry(value, in_era(self._era, item.revision))
 
     async def list_keys(
         self, prefix: str, timeout_s: float
     ) -> Changes | Unavailable:
         """Reads all keys with a prefix, page by page.
 
-        The pages do not form one snapshot. The returned revision is that of the
-        first page, so a watch that starts there delivers every change made
-        during the listing.
+        All pages are of one era, but do not form one snapshot. The returned
+        revision is that of the first page, so a watch that starts there
+        delivers every change made during the listing.
         """
         found: list[KeyChange] = []
         as_of: int | None = None
-        after = ""
+        after, era = "", None
         while True:
             path = f"kv-range?PathPrefix={quote(prefix, safe='')}"
             if after:
@@ -140,8 +153,11 @@
             )
             if isinstance(page, Unavailable):
                 return page
-            as_of = page.as_of if as_of is None else as_of
-            found.extend(_key_change(item) for item in page.items)
+            if era is not None and era != self._era:
+                return Unavailable("restored while its keys were listed")
+            era = self._era
+            as_of = in_era(era, page.as_of) if as_of is None else as_of
+            found.extend(_key_change(item, era) for item in page.items)
             if not page.has_more or not page.items:
                 return Changes(tuple(found), as_of)
             after = page.items[-1].key
@@ -149,21 +165,28 @@
     async def changes_after(
         self, prefix: str, revision: int, wait_s: float, timeout_s: float
     ) -> Changes | HistoryLost | Unavailable:
-        """Waits up to `wait_s` for changes of a prefix after a revision."""
+        """Waits up to `wait_s` for changes of a prefix after a revision.
+
+        The history is lost for a revision of an earlier era, even if the store
+        has changes after the same number.
+        """
+        number = number_of(revision)
         path = (
             f"kv-watch?PathPrefix={quote(prefix, safe='')}"
-            f"&after={revision}&WaitMs={round(wait_s * 1000)}"
+            f"&after={number}&WaitMs={round(wait_s * 1000)}"
         )
         reply = await self._call("GET", path, None, wait_s + timeout_s)
         if isinstance(reply, Unavailable):
             return reply
+        if self._era != era_of(revision):
+            return HistoryLost(f"restored, now in era {self._era}")
         if reply.status == 410:
-            return HistoryLost(f"history after {revision}")
+            return HistoryLost(f"history after {number}")
         events = _decode(reply, _EventList)
         if isinstance(events, Unavailable):
             return events
-        changes = tuple(_key_change(item) for item in events.events)
-        return Changes(changes, max(revision, events.as_of))
+        changes = tuple(_key_change(item, self._era) for item in events.events)
+        return Changes(changes, max(revision, in_era(self._era, events.as_of)))
 
     async def compare_and_swap(
         self,
@@ -173,14 +196,23 @@
         timeout_s: float,
         lease_id: int = 0,
     ) -> Entry | Conflict | Unknown | Unavailable:
-        """Writes `value` if the key still has `expected_revision`."""
+        """Writes `value` if the key still has `expected_revision`.
+
+        A revision of an earlier era conflicts. If the store turns out to have
+        been restored since, the key may have had that revision by chance, and
+        the outcome is unknown.
+        """
+        if expected_revision and era_of(expected_revision) != self._era:
+            return Conflict(key)
         put = {
             "Key": key,
             "Value": base64.b64encode(value).decode(),
             "LeaseId": lease_id,
         }
         body = {
-            "Expected": [{"Key": key, "Revision": expected_revision}],
+            "Expected": [
+                {"Key": key, "Revision": number_of(expected_revision)}
+            ],
             "Puts": [put],
             "Deletes": [],
         }
@@ -194,7 +226,9 @@
         written = _decode(reply, _WriteResult)
         if isinstance(written, Unavailable):
             return Unknown(written.reason)
-        return Entry(value, written.revision)
+        if expected_revision and era_of(expected_revision) != self._era:
+            return Unknown("restored before the write")
+        return Entry(value, in_era(self._era, written.revision))
 
     async def delete(
         self, key: str, timeout_s: float
@@ -216,6 +250,7 @@
         lease = _decode(reply, _Lease)
         if isinstance(lease, Unavailable):
             return lease
+        self._lease_eras[lease.lease_id] = self._era
         return lease.lease_id
 
     async def keep_lease(
@@ -223,13 +258,17 @@
     ) -> float | Unavailable:
         """Renews a lease.
 
+        A lease of an earlier era has ended: its id may be that of another
+        instance's lease now, and its keys may be lost.
+
         Returns:
             The time to live in seconds, or 0 if the lease has already ended.
         """
         reply = await self._write(f"kv-keep/{lease_id}", None, timeout_s)
         if isinstance(reply, Unavailable):
             return reply
-        if reply.status == 404:
+        if reply.status == 404 or self._lease_eras.get(lease_id) != self._era:
+            self._lease_eras.pop(lease_id, None)
             return 0.0
         lease = _decode(reply, _Lease)
         return lease if isinstance(lease, Unavailable) else lease.ttl_s
@@ -289,10 +328,27 @@
             if reply.verdict is Verdict.NOT_RUN:
                 return Unavailable(reply.reason)
             return Unknown(reply.reason)
+        if not self._follow_era(reply):
+            return Unknown("response of an earlier era")
         if reply.status in _REJECTED_STATUSES:
             return Rejected(f"status {reply.status}")
         return reply
 
+    def _follow_era(self, reply: ServerResponse) -> bool:
+        """Notes the era that a response names; False if it is an earlier one.
+
+        A response without a readable era is taken for one of the latest era.
+        """
+        text = reply.header(_ERA) or ""
+        if not (text.isascii() and text.isdigit()) or int(text) > MAX_ERA:
+            return True
+        era = int(text)
+        if era > self._era:
+            if self._era:
+                state_change("store", "restored", "WARNING", era=era)
+            self._era = era
+        return era == self._era
+
 
 def _decode(reply: ServerResponse, kind: Any) -> Any:
     if reply.status != 200:
@@ -303,8 +359,9 @@
         return Unavailable(f"unreadable answer: {error}")
 
 
-def _key_change(item: _Item) -> KeyChange:
-    return KeyChange(item.key, _decode_value(item), item.revision)
+def _key_change(item: _Item, era: int) -> KeyChange:
+    revision = in_era(era, item.revision)
+    return KeyChange(item.key, _decode_value(item), revision)
 
 
 def _decode_value(item: _Item) -> bytes | None:
--- a/src/radishmux/store/mirror.py
+++ b/src/radishmux/store/mirror.py
@@ -23,6 +23,7 @@
     KeyChange,
     ObservableStore,
 )
+from radishmux.store.revision import era_of
 from radishmux.tasks import BackgroundTask
 from radishmux.telemetry.logs import state_change
 
@@ -55,6 +56,9 @@
 RETRY_PAUSE_S = 0.15
 
 
+WatchAnswer = Changes | HistoryLost | Unavailable
+
+
 class MirrorListener(Protocol):
     """Receives the keys and changes that the mirror reads."""
 
@@ -64,6 +68,13 @@
     def on_change(self, change: KeyChange, now: float) -> bool:
         """Applies a change; returns False if it only renews an entry."""
 
+    def on_store_restored(self, now: float) -> None:
+        """Called before the first list of a store restored from a copy.
+
+        The copy may lack what other parties have written and will write again,
+        and may contain what they have deleted since.
+        """
+
     def on_store_recovered(self, now: float, is_own: bool) -> None:
         """Called when the store answers again after an outage.
 
@@ -98,6 +109,10 @@
         self._listener = listener
         self._clock = clock
         self._revision = -1
+        # Latest era that was listed here, and that a peer knows.
+        self._listed_era = 0
+        self._heard_era = 0
+        self._watch: asyncio.Task[WatchAnswer] | None = None
         self._contact_at = -math.inf
         self._is_unreachable = False
         self._recovered_at: float | None = None
@@ -140,6 +155,23 @@
         self._fed_until = -math.inf
         self._feed_ended.set()
 
+    def on_peer_revision(self, revision: int) -> None:
+        """Lists all keys again if a peer has read a later era of the store.
+
+        The own watch may hang, or the hub that sends a feed may not know yet.
+        """
+        era = era_of(revision)
+        if era <= max(self._listed_era, self._heard_era):
+            return
+        self._heard_era = era
+        if self._revision < 0:
+            return
+        state_change("store history", "outdated", era=era)
+        self._revision = -1
+        self.end_feed("a peer has read a later era")
+        if self._watch is not None:
+            self._watch.cancel()
+
     def feed_after(self, revision: int, now: float) -> Feed | None:
         """Returns a feed for a member, or None if it cannot be complete.
 
@@ -150,6 +182,8 @@
         age_s = self.contact_age_s(now)
         if self._revision < 0 or age_s > MAX_FEED_AGE_S:
             return None
+        if era_of(revision) != era_of(self._revision):
+            return None
         changes = self._change_log.after(revision)
         if changes is None:
             return None
@@ -168,7 +202,7 @@
             period_factor: Factor by which the time until the next feed is
                 longer than usual.
         """
-        if self._revision < 0:
+        if self._revision < 0 or era_of(feed.as_of) != era_of(self._revision):
             return
         if feed.contact_age_s > MAX_FEED_AGE_S:
             self.end_feed(
@@ -222,12 +256,11 @@
             return self._fed_until - called_at
         if self._fed_until > -math.inf:
             self.end_feed("no report from the hub in time")
-        if self._revision < 0:
+        is_list = self._revision < 0
+        if is_list:
             answer = await self._store.list_keys(self._prefix, LIST_TIMEOUT_S)
         else:
-            answer = await self._store.changes_after(
-                self._prefix, self._revision, self._max_wait_s, CALL_TIMEOUT_S
-            )
+            answer = await self._await_changes()
         now = self._clock.now()
         if isinstance(answer, HistoryLost):
             state_change("store history", "lost", reason=answer.reason)
@@ -236,13 +269,33 @@
         if isinstance(answer, Unavailable):
             return self._on_failure(answer)
         self._on_response(now)
-        self._deliver(answer, now)
+        if is_list:
+            self._deliver_list(answer, now)
+        elif self._revision >= 0:
+            self._apply(answer.changes, answer.as_of, now)
         return max(0.0, MIN_INTERVAL_S - (now - called_at))
 
-    def _deliver(self, answer: Changes, now: float) -> None:
-        if self._revision >= 0:
-            self._apply(answer.changes, answer.as_of, now)
-            return
+    async def _await_changes(self) -> WatchAnswer:
+        """Waits for changes; ends early if the own revision is outdated."""
+        self._watch = watch = asyncio.create_task(
+            self._store.changes_after(
+                self._prefix, self._revision, self._max_wait_s, CALL_TIMEOUT_S
+            )
+        )
+        try:
+            await asyncio.wait((watch,))
+        finally:
+            watch.cancel()
+            self._watch = None
+        if watch.cancelled():
+            return HistoryLost("a peer has read a later era")
+        return watch.result()
+
+    def _deliver_list(self, answer: Changes, now: float) -> None:
+        era = era_of(answer.as_of)
+        if self._loaded.is_set() and era > self._listed_era:
+            self._listener.on_store_restored(now)
+        self._listed_era = era
         self._listener.on_list(answer.changes, now)
         self._change_log.reset(answer.changes, answer.as_of)
         self._revision = answer.as_of
--- a/standins/_cli.py
+++ b/standins/_cli.py
@@ -9,19 +9,21 @@
 from aiohttp import web
 
 
-async def serve(app: web.Application, listen: Sequence[str]) -> None:
+async def serve(
+    app: web.Application, listen: Sequence[str], cancels: bool = False
+) -> None:
     """Serves `app` until SIGTERM or SIGINT.
 
-    A handler is cancelled when its client closes the connection.
-
     Prints one line `listening ADDRESS` for each address when ready.
 
     Args:
         app: The application.
         listen: `ip:port` of each listener; port 0 takes a free one.
+        cancels: Whether a handler is cancelled when its client closes the
+            connection.
     """
     runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=0.2, handler_cancellation=True
+        app, access_log=None, shutdown_timeout=0.2, handler_cancellation=cancels
     )
     await runner.setup()
     for address in listen:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -179,7 +179,7 @@
     app = PlatformServerStandIn(
         options.name, options.record, options.arrivals
     ).build()
-    asyncio.run(serve(app, options.listen))
+    asyncio.run(serve(app, options.listen, cancels=True))
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_gossip_state.py
+++ b/tests/gateway/test_gossip_state.py
@@ -27,6 +27,9 @@
 
     revision = -1
 
+    def on_peer_revision(self, revision):
+        """Ignores what peers have read."""
+
 
 class Rollouts:
     """Rollouts of an instance with a single order."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -11,16 +11,18 @@
 import pytest
 
 from radishmux.clock import SystemClock
-from radishmux.gateway.events import StatusPut
+from radishmux.gateway.app import HOUSEKEEPING_PERIOD_S
+from radishmux.gateway.events import StatusPut, StoreListed
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.membership.registrar import Registrar
-from radishmux.outcome import Conflict
+from radishmux.outcome import Conflict, Unavailable, Unknown
 from radishmux.platform import keys
 from radishmux.platform.store import PlatformStore
 from radishmux.settings.gateway import Bounds
 from radishmux.store.interface import Entry
 from radishmux.store.mirror import StoreMirror
+from radishmux.store.revision import number_of
 from tests.gateway.fleet import config, run_fleet, send_request, server_entry
 from tests.gateway.parts import REGIONS
 from tests.standin_processes import standin
@@ -90,6 +92,14 @@
         self.fleet.add_listener(self.rollouts.on_event)
         self.fleet.add_listener(lambda event, now: self.events.append(event))
 
+    async def run_housekeeping(self):
+        """Does what the daemon's housekeeping does with the state."""
+        clock = SystemClock()
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
+            if not self.mirror.is_store_unreachable(clock.now()):
+                self.fleet.expire(clock.now())
+
     @property
     def routes(self):
         routes = self.fleet.routes
@@ -101,7 +111,9 @@
     follower = Follower(process.address)
     async with follower.store, follower.mirror:
         await eventually(lambda: follower.mirror.is_loaded)
+        housekeeping = asyncio.create_task(follower.run_housekeeping())
         yield follower
+        housekeeping.cancel()
 
 
 def with_route(version, prefix):
@@ -121,7 +133,7 @@
         await go_back(process, rewrite=False)
         await put(process, **{"op/config": with_route(2, "/new/")})
         revision = 0
-        while revision <= lost % 2**40 + 5:
+        while revision <= number_of(lost) + 5:
             revision = await put(process, **{"op/later": revision})
         await process.control(down="no")
         await eventually(lambda: "/new/" in follower.routes)
@@ -194,7 +206,7 @@
         await go_back(process)
         async with PlatformStore(process.address, clock) as other:
             again = await other.compare_and_swap("status/x", 0, b"2", TIMEOUT_S)
-            assert again.revision % 2**40 == written.revision % 2**40
+            assert number_of(again.revision) == number_of(written.revision)
         await store.get("status/x", TIMEOUT_S)
         outdated = await store.compare_and_swap(
             "status/x", written.revision, b"3", TIMEOUT_S
@@ -313,3 +325,101 @@
                 assert status == 200
         for gateway in gateways:
             assert "store is restored" in gateway.log_text()
+
+
+# CONFIG: a version was tried anew since its order had been written again.
+async def test_order_that_is_written_again_goes_on(platform_store):
+    process = platform_store
+    await put(process, **{"op/config": config(1)})
+    await copy(process)
+    await put(process, **{"op/rollout/s": ORDER})
+    async with following(process) as follower:
+        await eventually(lambda: follower.rollouts.active)
+        rollout = follower.rollouts.active["s"]
+        await go_back(process, rewrite=False)
+        follower.events.clear()
+        await eventually(lambda: StoreListed() in follower.events)
+        assert follower.rollouts.active["s"] is rollout
+        await put(process, **{"op/rollout/s": ORDER})
+        await asyncio.sleep(IN_FORCE_S)
+        assert follower.rollouts.active["s"] is rollout
+        # The same order once more in this era is a new one.
+        await put(process, **{"op/rollout/s": ORDER})
+        await eventually(lambda: follower.rollouts.active["s"] is not rollout)
+
+
+# CONFIG: a state of a withdrawn order was lost, and its bad version served.
+async def test_version_that_was_rolled_back_stays_out_of_use(platform_store):
+    process = platform_store
+    await put(process, **{"op/config": config(1)})
+    await copy(process)
+    state = {"State": "rolled_back", "TargetVersion": "v2"}
+    await put(process, **{"status/rollout/s": state})
+    async with following(process) as follower, follower.rollouts:
+        rollouts = follower.rollouts
+        assert rollouts.next_rule("s", "r", 0.0).never == "v2"
+        await go_back(process, rewrite=False)
+        follower.events.clear()
+        await eventually(lambda: StoreListed() in follower.events)
+        assert rollouts.next_rule("s", "r", 0.0).never == "v2"
+
+        async def is_recorded():
+            return "status/rollout/s" in (await process.show())["keys"]
+
+        async with asyncio.timeout(IN_FORCE_S):
+            while not await is_recorded():
+                await asyncio.sleep(0.05)
+
+
+class EraServer:
+    """Answers each call with the next of the scripted eras and bodies."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    @contextlib.asynccontextmanager
+    async def serving(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        async with server:
+            yield "{}:{}".format(*server.sockets[0].getsockname())
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while self.answers:
+                await reader.readuntil(b"\r\n\r\n")
+                era, document = self.answers.pop(0)
+                body = json.dumps(document).encode()
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\nStore-Era: {era}\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n".encode()
+                    + body
+                )
+
+
+def page(key, has_more):
+    return {"items": [{"Key": key}], "HasMore": has_more, "AsOf": 5}
+
+
+# CONFIG: a list mixed keys of two histories.
+async def test_list_whose_pages_are_of_two_eras_is_not_used():
+    server = EraServer((1, page("a", True)), (2, page("b", False)))
+    async with server.serving() as address:
+        async with PlatformStore(address, SystemClock()) as store:
+            listed = await store.list_keys("", TIMEOUT_S)
+    assert isinstance(listed, Unavailable)
+
+
+# CONFIG: a late answer of the lost history was applied.
+@pytest.mark.parametrize("era", ["", "x", "-3", "9" * 30])
+async def test_answer_of_an_earlier_era_is_not_used(era):
+    item = {"Key": "a", "Value": "", "Revision": 7}
+    server = EraServer((2, item), (1, item), (era, item))
+    async with server.serving() as address:
+        async with PlatformStore(address, SystemClock()) as store:
+            first = await store.get("a", TIMEOUT_S)
+            earlier = await store.get("a", TIMEOUT_S)
+            # An unreadable era is taken for the latest one.
+            unreadable = await store.get("a", TIMEOUT_S)
+    assert isinstance(earlier, Unknown)
+    assert first == unreadable
+    assert number_of(first.revision) == 7
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -45,6 +45,9 @@
 class _Mirror:
     revision = -1
 
+    def on_peer_revision(self, revision):
+        """Ignores what peers have read."""
+
     def set_hub(self, is_hub):
         pass
 
