Let callers leave and the store go back in the soak

Callers see nothing of it. The soak had callers that stay until they are answered, and a store that loses nothing that it has acknowledged, so that neither GONE nor a restored store could show.

The check GONE counts requests that reach a server over 0.5 s after their callers have left; it does not excuse gateways that stood still. LOST leaves out requests whose own callers have left.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -31,6 +31,10 @@
 # What a server says binds a gateway this long after its response.
 NOTICE_S = 0.5
 MAX_DURING_REST = 2
+# Time after which nothing goes on for a caller that has left, and the requests
+# of one gateway that may.
+GONE_S = 0.5
+GONE_FEW = 3
 RECOVERY_S = 15.0
 RECOVERED_SHARE = 0.25
 # These statuses say that a request has not run and never will.
@@ -238,6 +242,27 @@
                 break
 
 
+@CHECKS.register("GONE")
+def _departed_callers(history: History) -> Iterator[Violation]:
+    """Requests that reach servers after their callers have left.
+
+    Stricter than the users' rule: gateways that stood still are not excused.
+    """
+    late: collections.Counter[str] = collections.Counter()
+    for server, arrived in _by_server(history):
+        for arrival, call in arrived:
+            since = call.left_at
+            if not since or arrival.at <= since + GONE_S:
+                continue
+            # A link may hold up a request that was sent in time.
+            if _is_calm(history, server, "", since - CONTACT_S, arrival.at):
+                late[call.gateway] += 1
+                if late[call.gateway] > GONE_FEW:
+                    detail = f"{call.id} at {server}, {arrival.at - since:.2f}"
+                    yield Violation("GONE", arrival.at, f"{detail} s after")
+                    break
+
+
 @CHECKS.register("LEAVING")
 def _leaving_servers(history: History) -> Iterator[Violation]:
     """The users' DRAIN, for servers that say in responses that they leave."""
@@ -321,6 +346,8 @@
     for call in history.calls:
         if call.status or call.is_timeout or not runs.get(call.id):
             continue
+        if call.left_at:
+            continue
         for term in terms:
             if term.target != call.gateway:
                 continue
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -98,6 +98,18 @@
     return {"target": _gateway(rng, schedule), "for_s": _length(rng)}
 
 
+@KINDS.register("callers_leave")
+def _callers_leave(rng: random.Random, schedule: Schedule) -> dict[str, object]:
+    how = rng.choice(("close", "reset", "half-close"))
+    return {"target": _gateway(rng, schedule), "for_s": 3.0, "how": how}
+
+
+@KINDS.register("store_restored")
+def _restored(rng: random.Random, schedule: Schedule) -> dict[str, object]:
+    how = rng.choice(("hang", "reset", "busy"))
+    return {"for_s": round(rng.uniform(0.3, 2.5), 2), "how": how}
+
+
 @KINDS.register("gateway_reload")
 def _reload(rng: random.Random, schedule: Schedule) -> dict[str, object]:
     return {"target": _gateway(rng, schedule)}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -128,6 +128,11 @@
             await server.stack.aclose()
         await self._stack.aclose()
 
+    @property
+    def history(self) -> History:
+        """Where callers record their requests."""
+        return self._history
+
     @property
     def callers_addresses(self) -> dict[str, str]:
         """Addresses of the gateways for callers, dead ones too."""
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from radishmux.registry import Registry
+from soak.departing_callers import DepartingCallers
 from soak.faults import Fault, Schedule
 from soak.fleet import LEAVE_AFTER_S, Server, SoakFleet
 from soak.proxy import Link
@@ -20,6 +21,8 @@
 # What servers in need name.
 LIMIT_PER_S = 2.0
 REST_S = 2.0
+# Age of the copy that the store comes back from.
+COPY_AGE_S = 4.0
 # Time for which a server that says that it leaves goes on serving.
 SERVES_ON_S = 6.0
 
@@ -119,6 +122,31 @@
             await self._fleet.store.control(down="no")
             disruption.until = time.time()
 
+    @_INJECT.register("store_restored")
+    async def _store_restored(self, fault: Fault) -> None:
+        """The store is away and comes back from a copy some seconds old."""
+        async with self._lock("store"):
+            disruption = self._fleet.disrupt(fault.kind, "")
+            await self._fleet.store.control(down=fault.how)
+            await asyncio.sleep(fault.for_s)
+            await self._fleet.store.control(restore_s=COPY_AGE_S)
+            await self._fleet.store.control(down="no")
+            disruption.until = time.time()
+
+    @_INJECT.register("callers_leave")
+    async def _callers_leave(self, fault: Fault) -> None:
+        """Callers of a gateway leave at once, also while it stands still."""
+        gateway = self._gateway(fault)
+        async with self._lock(gateway.name):
+            callers = DepartingCallers(gateway, fault, self._fleet.history)
+            calls = asyncio.create_task(callers.run(fault.for_s))
+            disruption = self._fleet.disrupt(fault.kind, gateway.name)
+            self._fleet.signal(gateway, signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s / 2)
+            self._fleet.signal(gateway, signal.SIGCONT)
+            await calls
+            disruption.until = time.time()
+
     @_INJECT.register("store_lost_answers")
     async def _store_lost_answers(self, fault: Fault) -> None:
         disruption = self._fleet.disrupt(fault.kind, "")
--- a/soak/records.py
+++ b/soak/records.py
@@ -20,6 +20,8 @@
         status: Status of the answer; 0: none came.
         is_whole: Whether a success was signed, complete and its own.
         is_timeout: Whether the caller gave up.
+        left_at: When the caller closed the connection without an answer; 0: it
+            did not.
     """
 
     id: str
@@ -33,6 +35,7 @@
     status: int = 0
     is_whole: bool = False
     is_timeout: bool = False
+    left_at: float = 0.0
 
 
 class Run(msgspec.Struct, kw_only=True):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -93,6 +93,13 @@
             *(arrival(str(n), at=10.5 + n / 4) for n in range(1, 4)),
         ],
     ),
+    "GONE": History(
+        calls=[
+            call(str(n), status=0, is_whole=False, left_at=10.0)
+            for n in range(4)
+        ],
+        arrivals=[arrival(str(n), at=10.6) for n in range(4)],
+    ),
     "LEAVING": History(
         calls=[call("1", sent_at=5.0, ended_at=5.1), call("2", sent_at=7.7)],
         arrivals=[
