--- a/src/radishmux/store/interface.py
+++ b/src/radishmux/store/interface.py
@@ -16,7 +16,8 @@
 
     Attributes:
         value: At most 1 MB.
-        revision: Grows with each write of the key; 0 if the key does not exist.
+        revision: Grows with each write of the key, also across restorations
+            of the store (see `store.revision`); 0 if the key does not exist.
     """
 
     value: bytes
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -98,7 +98,11 @@
         self.gateways = []
 
     async def put(self, **keys):
-        """Writes JSON documents to the store; None deletes a key."""
+        """Writes JSON documents to the store; None deletes a key.
+
+        Returns:
+            The store's revision after the writes.
+        """
         encoded = {
             key: None
             if value is None
@@ -109,6 +113,7 @@
             url = f"http://{self.store.address}/put"
             async with session.post(url, json=encoded) as response:
                 response.raise_for_status()
+                return (await response.json())["Revision"]
 
     async def add(self, name, domain="a-1", **settings):
         """Starts one more gateway daemon and returns it."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import contextlib
 import json
 
-import aiohttp
 import pytest
 
 from radishmux.clock import SystemClock
@@ -23,7 +21,13 @@
 from radishmux.store.interface import Entry
 from radishmux.store.mirror import StoreMirror
 from radishmux.store.revision import number_of
-from tests.gateway.fleet import config, run_fleet, send_request, server_entry
+from tests.gateway.fleet import (
+    Fleet,
+    config,
+    run_fleet,
+    send_request,
+    server_entry,
+)
 from tests.gateway.parts import REGIONS
 from tests.standin_processes import standin
 
@@ -41,17 +45,7 @@
 
 
 async def put(process, **documents):
-    encoded = {
-        key: None
-        if value is None
-        else base64.b64encode(json.dumps(value).encode()).decode()
-        for key, value in documents.items()
-    }
-    async with aiohttp.ClientSession() as session:
-        url = f"http://{process.address}/put"
-        async with session.post(url, json=encoded) as response:
-            response.raise_for_status()
-            return (await response.json())["Revision"]
+    return await Fleet(process, {}, None).put(**documents)
 
 
 async def copy(process):
