Show departing callers in the report of the soak

Nothing changes for callers. The report of a run by hand ended with an error when callers had left: the first letter of its timeline is chosen by the kind of the fault, and the new one had none. The test shows a report with every kind of fault.

--- a/soak/report.py
+++ b/soak/report.py
@@ -10,7 +10,14 @@
 from soak.run import Outcome
 
 _COLUMNS = 60
-_MARKS = {"gateway": "g", "store": "s", "server": "b"}
+_MARKS = {
+    "gateway": "g",
+    "store": "s",
+    "server": "b",
+    "callers": "c",
+    "configuration": "o",
+    "key": "o",
+}
 
 
 def show(outcome: Outcome, console: Console) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,11 +6,13 @@
 
 import msgspec
 import pytest
+from rich.console import Console
 
 from soak.checks import CHECKS, RECOVERY_S, violations
-from soak.faults import Fault, Schedule, draw
+from soak.faults import KINDS, Fault, Schedule, draw
 from soak.records import Act, Arrival, Call, Disruption, History, Run
-from soak.run import play
+from soak.report import show
+from soak.run import Outcome, play
 from soak.shrink import shrink
 
 # Schedules that once failed. sighup-while-starting: the process was ended by a
@@ -200,6 +202,27 @@
     assert outcome.served > 0
 
 
+# The report of a run with departing callers ended with an error.
+def test_report_shows_every_kind_of_fault():
+    disruptions = [
+        Disruption(kind=kind, target=kind, since=10.0, until=11.0)
+        for kind in KINDS
+    ]
+    history = History(disruptions=disruptions, ended_at=20.0)
+    outcome = Outcome(
+        schedule=draw(1, 8.0),
+        violations=[],
+        calls=0,
+        served=0,
+        runs=0,
+        history=history,
+    )
+    console = Console(record=True, width=120)
+    show(outcome, console)
+    text = console.export_text()
+    assert "callers_leave" in text and "store_restored" in text
+
+
 async def test_seeds_that_failed_once_break_no_rule(tmp_path):
     """Schedules in `soak_cases`; there are none as long as none has failed."""
     for path in CASES:
