Tell a stop of the instance from a caller's leaving

Callers see nothing of it. Requests that an instance cut as it stopped would have been logged as caller_left, since the server aborts their connections.

Cause: whoever aborted a connection, the end of it was taken for the caller's. Change: an abort names its reason.

--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -79,6 +79,7 @@
         self._transport: asyncio.Transport | None = None
         self._remote_end: RemoteEnd | None = None
         self._checked_at = -math.inf
+        self._end_reason = CALLER_LEFT
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingResponse] = deque()
         self._timer: asyncio.TimerHandle | None = None
@@ -111,7 +112,7 @@
         self._closing = True
         self._cancel_timer()
         self._discard_body()
-        self._cancel_pending(CALLER_LEFT)
+        self._cancel_pending(self._end_reason)
         self._transport = self._remote_end = None
         self._server.remove_connection(self)
 
@@ -435,8 +436,13 @@
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
-        """Closes the connection at once; unsent data is lost."""
+    def abort(self, reason: str = CALLER_LEFT) -> None:
+        """Closes the connection at once; unsent data is lost.
+
+        Args:
+            reason: Why the requests in flight are cancelled.
+        """
+        self._end_reason = reason
         if self._transport is not None:
             self._transport.abort()
 
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -15,7 +15,7 @@
 from radishmux.config.routing import CallerLimits
 from radishmux.http._connection import Connection
 from radishmux.http._remote_end import DEPARTURE_CHECK_S
-from radishmux.http.incoming import IncomingRequest
+from radishmux.http.incoming import CANCELLED, IncomingRequest
 from radishmux.http.response import Response
 
 # Memory for the request bodies of all callers: a quarter of the memory of a
@@ -111,7 +111,7 @@
         if self._departure_timer is not None:
             self._departure_timer.cancel()
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(CANCELLED)
 
     def drain(self) -> None:
         """Closes idle connections now and others after their response."""
--- a/tests/gateway/test_pipelined.py
+++ b/tests/gateway/test_pipelined.py
@@ -8,6 +8,7 @@
 import pytest
 
 from radishmux.config.routing import CallerLimits
+from radishmux.http.incoming import CALLER_LEFT, CANCELLED
 from radishmux.http.pipelined import PipelinedServer
 from radishmux.http.response import Response
 
@@ -182,6 +183,29 @@
         await asyncio.wait_for(cancelled.wait(), 0.5)
 
 
+@pytest.mark.parametrize("reason", [CALLER_LEFT, CANCELLED])
+async def test_cancelled_handler_is_told_why(reason):
+    started = asyncio.Event()
+    reasons = []
+
+    async def handler(request):
+        started.set()
+        try:
+            await asyncio.sleep(30)
+        except asyncio.CancelledError as error:
+            reasons.append(str(error))
+            raise
+
+    async with serve(handler) as server:
+        async with Caller(server) as caller:
+            caller.writer.write(GET)
+            await asyncio.wait_for(started.wait(), 5)
+            if reason == CANCELLED:
+                await server.__aexit__(None, None, None)
+        await _until(lambda: reasons)
+    assert reasons == [reason]
+
+
 async def test_memory_of_a_body_is_released_after_the_response():
     release = asyncio.Event()
     started = asyncio.Event()
