Count attempts to connect to servers and show the age of their answers

The logs told neither an instance that reaches no server from servers that answer nobody, nor an open connection that is silent from a slow server. gateway_connects_total counts attempts to connect by outcome, and gateway_server_response_age_seconds shows the time since any server last responded to this instance. No logic is changed.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -37,6 +37,8 @@
         connect_timeout_s: Time limit for opening a connection.
         use_tcp_keepalive: Whether the kernel probes connections while a
             response takes long, so that a silent one breaks within seconds.
+        on_connect: Called with the outcome of each attempt to connect: the
+            name of the error, or an empty string.
     """
 
     def __init__(
@@ -46,7 +48,9 @@
         memory: ResponseMemory | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         use_tcp_keepalive: bool = False,
+        on_connect: Callable[[str], None] = lambda error: None,
     ) -> None:
+        self._on_connect = on_connect
         self._memory = memory or ResponseMemory()
         self._connect_timeout_s = connect_timeout_s
         self._probes_silence = use_tcp_keepalive
@@ -153,8 +157,10 @@
             self._open_count -= 1
             if isinstance(error, OSError):  # Includes TimeoutError.
                 reason = type(error).__name__
+                self._on_connect(reason)
                 return NoResponse(f"connect:{reason}", Verdict.NOT_RUN, True)
             raise
+        self._on_connect("")
         # Applies until the first response sets the time, so that a connection
         # whose request was not sent is kept.
         connection.idle_until = self._clock.now() + DEFAULT_KEEP_ALIVE_S
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -340,6 +340,8 @@
         metrics.set("gateway_store_contact_age_seconds", age_s)
         servers = sum(1 for _ in self._fleet.servers.all())
         metrics.set("gateway_servers", servers)
+        response_age_s = self._sender.response_age_s(now)
+        metrics.set("gateway_server_response_age_seconds", response_age_s)
         metrics.set("gateway_servers_limited", self._limits.limited_count)
         routes = self._fleet.routes
         problems = routes.configuration.problems if routes else ()
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -101,6 +101,11 @@
         self._clock = clock
         self._memory = ResponseMemory()
         self._connections: dict[str, ServerConnectionPool] = {}
+        self._last_response_at = clock.now()
+
+    def response_age_s(self, now: float) -> float:
+        """Returns the time since a server last responded, or the start."""
+        return now - self._last_response_at
 
     def may_send(self, server: Server, now: float) -> bool:
         """Whether a server may get a request now; cold ones have a limit."""
@@ -171,6 +176,7 @@
             return outcome
         if isinstance(outcome, NoResponse):
             return self._record_failure(attempt, outcome, now)
+        self._last_response_at = now
         report = self._dialect.read_report(outcome)
         if report.load is not None:
             server_state.apply_load_report(report.load, now)
@@ -197,7 +203,10 @@
         connections = self._connections.get(server.name)
         if connections is None:
             connections = ServerConnectionPool(
-                server.entry.address, self._clock, self._memory
+                server.entry.address,
+                self._clock,
+                self._memory,
+                on_connect=self._count_connect,
             )
             self._connections[server.name] = connections
         one_way_s = self._placement.round_trip_s(server) / 2
@@ -214,6 +223,9 @@
             lambda: self._obstacle(call, server),
         )
 
+    def _count_connect(self, error: str) -> None:
+        self._metrics.count("gateway_connects_total", outcome=error or "open")
+
     def _obstacle(self, call: Call, server: Server) -> str:
         """Returns why a request must not be sent now; empty if it may be."""
         if call.has_caller_left():
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -138,6 +138,16 @@
         "service",
         "outcome",
     ),
+    _counter(
+        "gateway_connects_total",
+        "Attempts to connect to backend servers; outcome is 'open' or the"
+        " name of the error.",
+        "outcome",
+    ),
+    _gauge(
+        "gateway_server_response_age_seconds",
+        "Time since a backend server last responded, or since the start.",
+    ),
     _counter(
         "gateway_unreadable_total", "Requests that could not be read.", "reason"
     ),
