--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import enum
+import socket
 from types import TracebackType
 
 _CHUNK_BYTES = 64 * 1024
@@ -19,10 +20,17 @@
     DEAF = "drops what the client sends"
     MUTE = "drops what the server sends"
     CLOSED = "resets connections, new ones too"
+    CUT_SILENT = "drops all bytes; new connections hang"
+    CUT_RESET = "resets connections and refuses new ones"
+    CUT_NEW = "passes bytes on, but refuses new connections"
 
 
-_DROPS_FROM_CLIENT = frozenset({Link.SILENT, Link.DEAF})
-_DROPS_FROM_SERVER = frozenset({Link.SILENT, Link.MUTE})
+_DROPS_FROM_CLIENT = frozenset({Link.SILENT, Link.DEAF, Link.CUT_SILENT})
+_DROPS_FROM_SERVER = frozenset({Link.SILENT, Link.MUTE, Link.CUT_SILENT})
+_RESETS = frozenset({Link.CLOSED, Link.CUT_RESET})
+CUTS = (Link.CUT_SILENT, Link.CUT_RESET, Link.CUT_NEW)
+# Connections that fill the queue of a listener with the shortest backlog.
+_QUEUE_FILLERS = 3
 DELAY_S = 0.15
 
 
@@ -40,6 +48,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
+        # Sockets whose full queue lets connections hang.
+        self._queue: list[socket.socket] = []
 
     async def __aenter__(self) -> FaultProxy:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -55,6 +65,7 @@
     ) -> None:
         if self._server is not None:
             self._server.close()
+        self._empty_queue()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -62,9 +73,50 @@
     def set_link(self, link: Link) -> None:
         """Sets what happens to all connections from now on."""
         self._link = link
-        if link is Link.CLOSED:
+        if link in _RESETS:
             for writer in list(self._writers):
                 writer.transport.abort()
+        self._empty_queue()
+        if link not in CUTS:
+            self._listen()
+            return
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        if link is Link.CUT_SILENT:
+            self._fill_queue()
+
+    def _listen(self) -> None:
+        """Accepts connections again after a cut."""
+        if self._server is not None:
+            return
+        task = asyncio.create_task(self._start())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        server = await asyncio.start_server(self._serve, host, int(port))
+        if self._server is None and self._link not in CUTS:
+            self._server = server
+        else:
+            server.close()
+
+    def _fill_queue(self) -> None:
+        """Lets new connections hang: nobody takes them from a full queue."""
+        host, _, port = self.address.rpartition(":")
+        listener = socket.create_server((host, int(port)), backlog=0)
+        self._queue = [listener]
+        for _ in range(_QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self._queue.append(filler)
+
+    def _empty_queue(self) -> None:
+        for one in self._queue:
+            one.close()
+        self._queue = []
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -84,7 +136,7 @@
     async def _join(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._link is Link.CLOSED:
+        if self._link is Link.CLOSED or self._link in CUTS:
             writer.transport.abort()
             return
         host, _, port = self.target.rpartition(":")
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import base64
 import collections
 import time
 from typing import Any
@@ -14,7 +15,7 @@
 import msgspec
 from aiohttp import web
 
-from standins._cli import abort, serve
+from standins._cli import abort, local_address, serve
 from standins._store_state import Event, Pair, StoreState
 
 _PAGE = 50
@@ -54,6 +55,9 @@
         self._era = 1
         # Monotonic time and value of the latest `/put` of each key.
         self._outer_writes: dict[str, tuple[float, str | None]] = {}
+        # By address of a listener: the addresses that its clients see in place
+        # of those of the servers.
+        self._views: dict[str, dict[str, str]] = {}
 
     def build(self) -> web.Application:
         """Returns the application."""
@@ -71,6 +75,7 @@
             app.router.add_route(method, path, self._faulty(path, answer))
         # What the operator and the servers write, without conditions.
         app.router.add_post("/put", self._put)
+        app.router.add_post("/views", self._set_views)
         app.router.add_get("/control", self._show)
         app.router.add_post("/control", self._control)
         app.on_response_prepare.append(self._add_era)
@@ -85,6 +90,7 @@
             if self._faults.down != "no":
                 await self._drop(request, self._faults.down)
             response = await answer(request)
+            self._apply_view(request, response)
             await self._notify()
             if request.method == "POST" and self._faults.lose_answers > 0:
                 self._faults.lose_answers -= 1
@@ -93,6 +99,30 @@
 
         return handle
 
+    def _apply_view(self, request: web.Request, response: web.Response) -> None:
+        """Replaces the addresses of servers by those of the client's view."""
+        view = self._views.get(local_address(request))
+        if not view or not response.body:
+            return
+        document = msgspec.json.decode(response.body)
+        for item in (
+            document,
+            *document.get("items", ()),
+            *document.get("events", ()),
+        ):
+            if "Value" not in item:
+                continue
+            value = base64.b64decode(item["Value"]).decode()
+            for address, seen in view.items():
+                value = value.replace(f'"{address}"', f'"{seen}"')
+            item["Value"] = base64.b64encode(value.encode()).decode()
+        response.body = msgspec.json.encode(document)
+
+    async def _set_views(self, request: web.Request) -> web.Response:
+        """Sets how the clients of each listener see servers' addresses."""
+        self._views = await request.json()
+        return web.Response()
+
     async def _add_era(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -129,8 +129,8 @@
                 response.raise_for_status()
                 return (await response.json())["Revision"]
 
-    async def add(self, name, domain="a-1", **settings):
-        """Starts one more gateway daemon and returns it."""
+    def create(self, name, domain="a-1", **settings):
+        """Returns one more gateway daemon, which is not started yet."""
         gateway = Gateway(
             name,
             domain[0],
@@ -140,6 +140,11 @@
             **settings,
         )
         self.gateways.append(gateway)
+        return gateway
+
+    async def add(self, name, domain="a-1", **settings):
+        """Starts one more gateway daemon and returns it."""
+        gateway = self.create(name, domain, **settings)
         await gateway.start()
         return gateway
 
@@ -202,10 +207,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(folder, servers=2):
+async def run_fleet(folder, servers=2, store_listeners=1):
     """Runs a store with a configuration and with registered servers."""
     async with contextlib.AsyncExitStack() as stack:
-        store = await stack.enter_async_context(standin("platform_store"))
+        listen = ["127.0.0.1:0"] * store_listeners
+        store = await stack.enter_async_context(
+            standin("platform_store", listen)
+        )
         running = {}
         for n in range(servers):
             name = f"i-{n}"
