Pass requests through peers while an instance reaches no server

Cause: a request had one way only. An instance sent to servers itself or not at all, each request found out for itself after 1 to 2 s, and refused connections paused the servers and marked them as cold, so that open connections that worked were not used either.

Change: steer/server_contact concludes from failed connections or silence, and from probes of servers in three failure domains, that no new connection can be opened. The instance then forgets the failures that this explains, uses open connections that still answer, and passes other requests to the nearest peers that reach servers; these make one attempt each and pass nothing on. Bodies stay in their home regions. A connection that could not be opened no longer counts as an attempt.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -37,6 +37,7 @@
         connect_timeout_s: Time limit for opening a connection.
         use_tcp_keepalive: Whether the kernel probes connections while a
             response takes long, so that a silent one breaks within seconds.
+        local_host: IP address to connect from; None: the kernel chooses.
         on_connect: Called with the outcome of each attempt to connect: the
             name of the error, or an empty string.
     """
@@ -49,7 +50,9 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         use_tcp_keepalive: bool = False,
         on_connect: Callable[[str], None] = lambda error: None,
+        local_host: str | None = None,
     ) -> None:
+        self._local_address = (local_host, 0) if local_host else None
         self._on_connect = on_connect
         self._memory = memory or ResponseMemory()
         self._connect_timeout_s = connect_timeout_s
@@ -66,6 +69,23 @@
         """Number of connections that are open or being opened."""
         return self._open_count
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a request can be sent without opening a connection."""
+        return any(connection.is_reusable for connection in self._idle)
+
+    async def probe(self, timeout_s: float) -> bool:
+        """Opens a connection, to be used by a later request.
+
+        Returns:
+            Whether the server has accepted it.
+        """
+        connection = await self._connect(self._clock.now() + timeout_s)
+        if isinstance(connection, NoResponse):
+            return False
+        self._release(connection)
+        return True
+
     def close(self) -> None:
         """Closes the idle connections."""
         for connection in self._idle:
@@ -152,13 +172,14 @@
                     self._host,
                     self._port,
                     family=socket.AF_INET,
+                    local_addr=self._local_address,
                 )
         except BaseException as error:
             self._open_count -= 1
             if isinstance(error, OSError):  # Includes TimeoutError.
                 reason = type(error).__name__
                 self._on_connect(reason)
-                return NoResponse(f"connect:{reason}", Verdict.NOT_RUN, True)
+                return NotSent(f"connect:{reason}", connection_failed=True)
             raise
         self._on_connect("")
         # Applies until the first response sets the time, so that a connection
--- a/src/radishmux/dispatch/server_response.py
+++ b/src/radishmux/dispatch/server_response.py
@@ -56,9 +56,12 @@
 
 
 class NotSent(NoResponse):
-    """A request that was not sent, since the server must not get it now."""
+    """A request of which no byte was sent to the server.
+
+    The server must not get it now, or no connection could be opened.
+    """
 
     __slots__ = ()
 
-    def __init__(self, reason: str) -> None:
-        super().__init__(reason, Verdict.NOT_RUN)
+    def __init__(self, reason: str, connection_failed: bool = False) -> None:
+        super().__init__(reason, Verdict.NOT_RUN, connection_failed)
--- a/src/radishmux/gateway/_report_codec.py
+++ b/src/radishmux/gateway/_report_codec.py
@@ -61,6 +61,7 @@
         caller_address=record.caller_address,
         peer_address=record.peer_address,
         capacity=record.capacity,
+        relay_address=record.relay_address,
     )
 
 
@@ -73,6 +74,7 @@
         caller_address=introduction.caller_address,
         peer_address=introduction.peer_address,
         capacity=introduction.capacity,
+        relay_address=introduction.relay_address or "",
     )
 
 
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from radishmux.clock import SystemClock
+from radishmux.config.routing import CallerLimits
+from radishmux.gateway.contact_monitor import ContactMonitor
 from radishmux.gateway.decision_log import DecisionLog
 from radishmux.gateway.events import (
     ConfigurationPut,
@@ -21,8 +23,10 @@
 from radishmux.gateway.gossip_state import GossipState
 from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.gateway.rate_limiter import FleetRateLimiter
+from radishmux.gateway.relay_service import RelayService
 from radishmux.gateway.reports import FleetReports
 from radishmux.gateway.request_flow import RequestFlow
+from radishmux.gateway.request_relay import RequestRelay
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.send_permits import SendPermits
@@ -30,7 +34,7 @@
 from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.gateway.token_log import TokenLog
 from radishmux.http.incoming import IncomingRequest
-from radishmux.http.pipelined import PipelinedServer
+from radishmux.http.pipelined import MAX_HELD_BYTES, PipelinedServer
 from radishmux.http.response import Response
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord, capacity_per_s
@@ -46,6 +50,7 @@
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.directory import LOOKUP_TTL_S, nearest
 from radishmux.steer.placement import Placement
+from radishmux.steer.server_contact import ServerContact
 from radishmux.store.mirror import StoreMirror
 from radishmux.tasks import repeat
 from radishmux.telemetry import logs
@@ -58,6 +63,9 @@
 # Callers may use an answer of the directory until its time to live is over.
 # An instance that is leaving still accepts their connections for this long.
 _CALLER_NOTICE_S = LOOKUP_TTL_S
+# Memory for the bodies of requests that peers relay: a third of that for those
+# of callers.
+_MAX_RELAYED_BYTES = MAX_HELD_BYTES // 3
 # Time reserved for closing connections before the platform sends SIGKILL.
 _KILL_MARGIN_S = 0.6
 
@@ -71,9 +79,11 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         self._leaving = False
+        self._contact = ServerContact()
         self._rng = random.Random()
         self._members: frozenset[str] = frozenset()
         self._callers: PipelinedServer | None = None
+        self._relay_server: PipelinedServer | None = None
         self._record = InstanceRecord(
             instance=settings.instance,
             incarnation=time.time_ns() // 1_000_000,
@@ -81,6 +91,7 @@
             failure_domain=settings.failure_domain,
             caller_address=settings.listen.caller,
             peer_address=f"{settings.ip}:{settings.listen.peer_ports[0]}",
+            relay_address=_relay_address(settings),
             capacity=capacity_per_s(
                 settings.cpu_share * settings.cores, settings.link_mbps
             ),
@@ -136,18 +147,22 @@
         await self._reports.announce()
         withdrawal = asyncio.create_task(self._registrar.withdraw())
         self._callers.drain()
+        if self._relay_server is not None:
+            self._relay_server.drain()
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
         await asyncio.sleep(min(_CALLER_NOTICE_S, grace_s / 2))
         self._callers.stop_listening()
         drain_until = started_at + grace_s
-        while (
-            self._callers.busy_connections and self._clock.now() < drain_until
-        ):
+        while self._busy_connections and self._clock.now() < drain_until:
             await asyncio.sleep(_DRAIN_POLL_S)
         withdrawal.cancel()
-        state_change(
-            "drain", "complete", in_flight=self._callers.busy_connections
-        )
+        state_change("drain", "complete", in_flight=self._busy_connections)
+
+    @property
+    def _busy_connections(self) -> int:
+        """Connections of callers and peers with requests in flight."""
+        servers = (self._callers, self._relay_server)
+        return sum(one.busy_connections for one in servers if one is not None)
 
     async def _start_state(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts logging, the store's mirror, membership and token holders."""
@@ -204,6 +219,7 @@
             self._mirror,
             lambda: self._leaving,
             self._clock,
+            lambda: self._contact.is_lost,
         )
         holder_changes = HolderChanges(
             self._record,
@@ -270,6 +286,7 @@
             self._fleet,
             placement,
             self._cold_limiter,
+            self._contact,
             self._permits,
             self._rollouts,
             dialect,
@@ -283,16 +300,56 @@
             lambda: self._config_version,
             self._metrics,
         )
+        chooser = ServerChooser(
+            self._fleet, self._rollouts, placement, self._sender
+        )
+        self._relay = RequestRelay(
+            self._record, self._peers, clock, self._metrics
+        )
+        stack.push_async_callback(self._relay.close)
         flow = RequestFlow(
             self._fleet,
-            ServerChooser(self._fleet, self._rollouts, placement, self._sender),
+            chooser,
             self._sender,
             self._rate_limiter,
             self._retry_budgets,
             dialect,
             clock,
             decision_log,
+            self._contact,
+            self._relay,
+        )
+        relay_service = RelayService(
+            self._record,
+            self._peers,
+            self._fleet,
+            self._contact,
+            chooser,
+            self._sender,
+            dialect,
+            clock,
+            decision_log,
         )
+        await stack.enter_async_context(
+            ContactMonitor(
+                self._contact,
+                self._fleet,
+                self._sender,
+                settings.region,
+                settings.failure_domain,
+                self._reports.announce,
+                clock,
+            )
+        )
+        if self._record.relay_address:
+            self._relay_server = await stack.enter_async_context(
+                PipelinedServer(
+                    self._record.relay_address,
+                    relay_service.handle,
+                    CallerLimits(),
+                    max_held_bytes=_MAX_RELAYED_BYTES,
+                )
+            )
         listen = settings.listen
         directory = DirectoryHandler(self._resolve)
         ready = ReadyHandler(lambda: self.is_ready)
@@ -340,6 +397,7 @@
         metrics.set("gateway_store_contact_age_seconds", age_s)
         servers = sum(1 for _ in self._fleet.servers.all())
         metrics.set("gateway_servers", servers)
+        metrics.set("gateway_server_contact", not self._contact.is_lost)
         response_age_s = self._sender.response_age_s(now)
         metrics.set("gateway_server_response_age_seconds", response_age_s)
         metrics.set("gateway_servers_limited", self._limits.limited_count)
@@ -392,6 +450,7 @@
             self._fleet.expire(now)
         self._update_members(now)
         self._sender.prune()
+        self._relay.prune()
 
     def _resolve(
         self, region: str, failure_domain: str
@@ -401,3 +460,9 @@
             instances.append(self._record)
         ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
         return nearest(instances, region, failure_domain, self._rng), ttl_s
+
+
+def _relay_address(settings: GatewaySettings) -> str:
+    """Returns the address for relayed requests; empty if no port is left."""
+    first, last = settings.listen.peer_ports
+    return f"{settings.ip}:{last}" if last != first else ""
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -83,6 +83,20 @@
             detail = f"{in_flight} attempts in flight"
         self._write(call, state, reason, detail, now)
 
+    def record_relayed(
+        self, state: RequestState, peer: str, result: str, now: float
+    ) -> None:
+        """Records an attempt at a server that was made for a peer.
+
+        Args:
+            state: The request.
+            peer: Instance that has passed the request on.
+            result: Status of the server, or why there is none.
+            now: Monotonic seconds.
+        """
+        self._metrics.count("gateway_relayed_total", outcome=result)
+        self._write(state.call, state, "relayed", f"{result} for {peer}", now)
+
     def _count(
         self,
         call: Call | None,
@@ -138,6 +152,8 @@
                 }
                 for choice in state.choices
             ]
+            if state.relayed_via:
+                line["relayed_via"] = state.relayed_via
             if state.failure_reason:
                 line["last_failure"] = state.failure_reason
         if detail:
--- a/src/radishmux/gateway/gossip_state.py
+++ b/src/radishmux/gateway/gossip_state.py
@@ -63,6 +63,7 @@
         mirror: Source and receiver of the store changes that hubs pass on.
         is_leaving: Returns whether callers should use other instances.
         clock: Monotonic time.
+        is_cut_off: Returns whether this instance reaches no backend server.
     """
 
     def __init__(
@@ -74,7 +75,9 @@
         mirror: StoreMirror,
         is_leaving: Callable[[], bool],
         clock: Clock,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_cut_off = is_cut_off
         self._own = own
         self._peers = peers
         self._rates = rates
@@ -206,6 +209,7 @@
             instance=self._own.instance,
             incarnation=self._own.incarnation,
             leaving=self._is_leaving(),
+            cut_off=self._is_cut_off(),
             demands=[
                 messages.CustomerDemand(
                     customer=demand.customer,
@@ -259,7 +263,11 @@
                     decode_introduction(introduction), now
                 )
         if not self._peers.record_report(
-            name, report.incarnation, report.leaving, now
+            name,
+            report.incarnation,
+            report.leaving,
+            now,
+            bool(report.cut_off),
         ):
             return False
         self._is_settled |= report.is_settled
@@ -270,6 +278,7 @@
                     member.incarnation,
                     member.leaving,
                     member.silent,
+                    bool(member.cut_off),
                 )
                 for member in report.members or ()
             ]
@@ -355,6 +364,7 @@
                 incarnation=member.incarnation,
                 leaving=member.is_leaving,
                 silent=member.is_silent,
+                cut_off=member.is_cut_off,
             )
             for member in self._peers.unavailable_members(self._own.region, now)
         ]
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -20,6 +20,7 @@
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rate_limiter import FleetRateLimiter
 from radishmux.gateway.refusals import REFUSALS
+from radishmux.gateway.request_relay import RequestRelay
 from radishmux.gateway.request_state import RequestState
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.sender import Attempt, ServerSender
@@ -30,9 +31,11 @@
     IncomingRequest,
 )
 from radishmux.http.response import Response
+from radishmux.membership.record import InstanceRecord
 from radishmux.outcome import Unavailable
 from radishmux.steer.host_routes import HostRoutes
 from radishmux.steer.placement import Choice
+from radishmux.steer.server_contact import ServerContact
 from radishmux.steer.split import DestinationSplit
 from radishmux.verdict import Refusal, Verdict
 
@@ -68,6 +71,8 @@
         dialect: Translates the headers of callers and servers.
         clock: Monotonic time.
         log: Records each request that has ended.
+        contact: Whether this instance reaches the servers.
+        relay: Sends requests through peers while it does not.
     """
 
     def __init__(
@@ -80,7 +85,11 @@
         dialect: Dialect,
         clock: Clock,
         log: DecisionLog,
+        contact: ServerContact,
+        relay: RequestRelay,
     ) -> None:
+        self._contact = contact
+        self._relay = relay
         self._fleet = fleet
         self._chooser = chooser
         self._sender = sender
@@ -238,10 +247,17 @@
             state.may_have_run |= bool(group.tasks)
             return self._give_up(state, "deadline_passed")
         if now >= group.next_attempt_at and self._may_try_again(state):
-            choice = self._chooser.choose(state, now)
-            reason = self._check_attempt(state, choice, now)
-            if choice is not None and reason is None:
-                group.next_attempt_at = self._hedge_at(choice, now)
+            choice, helper = self._choose_way(state, now)
+            reason = self._check_attempt(state, choice, helper, now)
+            if helper is not None and reason is None:
+                group.next_attempt_at = self._hedge_at(
+                    self._chooser.expected_cold_s(state), now
+                )
+                group.tasks.add(self._start_relay(state, helper))
+            elif choice is not None and reason is None:
+                group.next_attempt_at = self._hedge_at(
+                    choice.expected_cold_s, now
+                )
                 group.tasks.add(self._start(state, choice))
             elif group.tasks:
                 # Not considered again until the attempts in flight have ended.
@@ -284,16 +300,39 @@
             group.next_attempt_at = now
         return None
 
+    def _choose_way(
+        self, state: RequestState, now: float
+    ) -> tuple[Choice | None, InstanceRecord | None]:
+        """Returns the server of the next attempt, or a peer to make it.
+
+        A peer is chosen if this instance has no way to the server, or to any.
+        """
+        if not self._contact.is_lost:
+            return self._chooser.choose(state, now), None
+        has_connections = self._contact.trusts_open_connections(now)
+        if has_connections:
+            choice = self._chooser.choose(state, now)
+            if choice and self._sender.can_reach(choice.server, now):
+                return choice, None
+        helper = self._relay.choose_helper(state, now)
+        if helper is not None or not has_connections:
+            return None, helper
+        return self._chooser.choose(state, now, only_reachable=True), None
+
     def _check_attempt(
-        self, state: RequestState, choice: Choice | None, now: float
+        self,
+        state: RequestState,
+        choice: Choice | None,
+        helper: InstanceRecord | None,
+        now: float,
     ) -> str | None:
         """Returns why an attempt must not be made, or None if it may be.
 
         Allowing a retry uses up one of the service's budget.
         """
-        if choice is None:
-            return "no_server"
-        if now + choice.expected_s >= state.deadline:
+        if choice is None and helper is None:
+            return "no_contact" if self._contact.is_lost else "no_server"
+        if choice is not None and now + choice.expected_s >= state.deadline:
             return "no_room"
         if state.tried_servers and not self._take_retry(state, now):
             return "retry_budget"
@@ -320,6 +359,34 @@
         )
         return asyncio.create_task(self._attempt(state, attempt))
 
+    def _start_relay(
+        self, state: RequestState, helper: InstanceRecord
+    ) -> asyncio.Task[ServerResponse | NoResponse]:
+        placeholder = f"via {helper.instance}"
+        state.tried_servers.append(placeholder)
+        state.relayed_via.append(helper.instance)
+        return asyncio.create_task(
+            self._attempt_relay(state, helper, placeholder)
+        )
+
+    async def _attempt_relay(
+        self, state: RequestState, helper: InstanceRecord, placeholder: str
+    ) -> ServerResponse | NoResponse:
+        """Lets a peer make an attempt; counts as one if it was sent."""
+        routes = self._fleet.routes
+        version = routes.configuration.version if routes else 0
+        outcome, server = await self._relay.send(state, helper, version)
+        state.tried_servers.remove(placeholder)
+        if not isinstance(outcome, NotSent):
+            state.tried_servers.append(server or placeholder)
+            return outcome
+        state.failed_helpers.add(helper.instance)
+        if server:
+            state.unavailable_servers.add(server)
+        if state.tried_servers:
+            state.unused_retries += 1
+        return outcome
+
     async def _attempt(
         self, state: RequestState, attempt: Attempt
     ) -> ServerResponse | NoResponse:
@@ -358,11 +425,10 @@
             return None
         return self._answer(state, outcome)
 
-    def _hedge_at(self, choice: Choice, now: float) -> float:
-        delay_s = max(
-            MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * choice.expected_cold_s
+    def _hedge_at(self, expected_cold_s: float, now: float) -> float:
+        return now + max(
+            MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * expected_cold_s
         )
-        return now + delay_s
 
     def _may_try_again(self, state: RequestState) -> bool:
         """Whether the request may be sent to another server.
--- a/src/radishmux/gateway/request_state.py
+++ b/src/radishmux/gateway/request_state.py
@@ -22,8 +22,11 @@
         service: Service that was chosen among the route's destinations.
         regions: Regions that may serve it; empty means all.
         deadline: Monotonic time until which an answer is useful.
-        tried_servers: Names of the servers that it was sent to, in order.
+        tried_servers: Names of the servers that it was sent to, in order. An
+            attempt through a helper stands there until its server is known.
         unavailable_servers: Names of the servers that must not get it now.
+        failed_helpers: Names of the peers that sent it to no server.
+        relayed_via: Names of the peers that it was passed to, in order.
         choices: The placement of each attempt, with what was expected of it.
         ended_attempts: Number of attempts that have ended.
         unused_retries: Retries that the budget allowed and that were not sent.
@@ -38,10 +41,12 @@
         "customer",
         "deadline",
         "ended_attempts",
+        "failed_helpers",
         "failure_reason",
         "last_response",
         "may_have_run",
         "regions",
+        "relayed_via",
         "route",
         "service",
         "tried_servers",
@@ -69,6 +74,8 @@
         self.deadline = deadline
         self.tried_servers: list[str] = []
         self.unavailable_servers: set[str] = set()
+        self.failed_helpers: set[str] = set()
+        self.relayed_via: list[str] = []
         self.choices: list[Choice] = []
         self.ended_attempts = 0
         self.unused_retries = 0
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from functools import partial
 
 from radishmux.clock import Clock
 from radishmux.config.routing import HostRoute
@@ -21,12 +22,17 @@
 from radishmux.http.incoming import CALLER_LEFT
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Choice, Placement, object_key
+from radishmux.steer.server_contact import ServerContact
 from radishmux.steer.server_state import LoadReport
 from radishmux.steer.servers import Server
 from radishmux.telemetry.logs import state_change
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
 
+# Longest time until a reachable server has accepted a connection: a round trip
+# between regions, and the delay of a busy link.
+PROBE_TIMEOUT_S = 0.3
+
 
 class Attempt:
     """One attempt to send a request to a server.
@@ -73,6 +79,7 @@
         fleet: The servers and the configuration.
         placement: Holds the observed states and work times of servers.
         cold_limiter: Bounds the requests to cold servers.
+        contact: Updated with what connections and responses show.
         permits: Keeps to the limits that servers name in their responses.
         rollouts: Collects the outcomes of each version.
         dialect: Translates the headers of servers.
@@ -85,6 +92,7 @@
         fleet: FleetState,
         placement: Placement,
         cold_limiter: ColdRateLimiter,
+        contact: ServerContact,
         permits: SendPermits,
         rollouts: Rollouts,
         dialect: Dialect,
@@ -95,6 +103,7 @@
         self._fleet = fleet
         self._placement = placement
         self._cold_limiter = cold_limiter
+        self._contact = contact
         self._permits = permits
         self._rollouts = rollouts
         self._dialect = dialect
@@ -102,11 +111,41 @@
         self._memory = ResponseMemory()
         self._connections: dict[str, ServerConnectionPool] = {}
         self._last_response_at = clock.now()
+        # Servers whose connections have failed since one was opened: the end of
+        # the cold time before that, and the one that was assumed then.
+        self._suspects: dict[str, tuple[Server, float, float]] = {}
 
     def response_age_s(self, now: float) -> float:
         """Returns the time since a server last responded, or the start."""
         return now - self._last_response_at
 
+    def can_reach(self, server: Server, now: float) -> bool:
+        """Whether a request to a server has a connection, or may get one."""
+        if not self._contact.is_lost:
+            return True
+        connections = self._connections.get(server.name)
+        return (
+            connections is not None
+            and connections.has_idle
+            and self._contact.trusts_open_connections(now)
+        )
+
+    async def probe(self, server: Server) -> bool:
+        """Returns whether a server accepts a connection."""
+        return await self._pool(server).probe(PROBE_TIMEOUT_S)
+
+    def undo_connection_failures(self) -> None:
+        """Forgets the failures that the loss of all servers explains.
+
+        They say nothing about the servers, which are used again at the end of
+        the partition, and before it over open connections.
+        """
+        for server, cold_until, assumed in self._suspects.values():
+            self._placement.state_of(server).undo_connection_failures()
+            if server.cold_until == assumed:
+                server.cold_until = cold_until
+        self._suspects.clear()
+
     def may_send(self, server: Server, now: float) -> bool:
         """Whether a server may get a request now; cold ones have a limit."""
         return not server.is_cold(now) or self._cold_limiter.allows(server, now)
@@ -163,6 +202,7 @@
         ):
             return NoResponse("cold_pace", Verdict.NOT_RUN)
         server_state.record_sent(now)
+        self._contact.record_sent(server.name, now)
         sent_at = now
         try:
             outcome = await self._exchange(attempt, server)
@@ -171,11 +211,12 @@
             raise
         finally:
             server_state.record_end()
+            self._contact.record_end(server.name)
         now = self._clock.now()
-        if isinstance(outcome, NotSent):
-            return outcome
         if isinstance(outcome, NoResponse):
-            return self._record_failure(attempt, outcome, now)
+            self._record_failure(attempt, outcome, now)
+            return outcome
+        self._contact.record_response(now)
         self._last_response_at = now
         report = self._dialect.read_report(outcome)
         if report.load is not None:
@@ -200,15 +241,7 @@
         self, attempt: Attempt, server: Server
     ) -> ServerResponse | NoResponse:
         call = attempt.call
-        connections = self._connections.get(server.name)
-        if connections is None:
-            connections = ServerConnectionPool(
-                server.entry.address,
-                self._clock,
-                self._memory,
-                on_connect=self._count_connect,
-            )
-            self._connections[server.name] = connections
+        connections = self._pool(server)
         one_way_s = self._placement.round_trip_s(server) / 2
         remaining_s = attempt.deadline - self._clock.now() - one_way_s
         payload = self._dialect.encode_request(
@@ -223,8 +256,25 @@
             lambda: self._obstacle(call, server),
         )
 
-    def _count_connect(self, error: str) -> None:
+    def _pool(self, server: Server) -> ServerConnectionPool:
+        connections = self._connections.get(server.name)
+        if connections is None:
+            connections = ServerConnectionPool(
+                server.entry.address,
+                self._clock,
+                self._memory,
+                on_connect=partial(self._on_connect, server.name),
+            )
+            self._connections[server.name] = connections
+        return connections
+
+    def _on_connect(self, server: str, error: str) -> None:
         self._metrics.count("gateway_connects_total", outcome=error or "open")
+        if error:
+            self._contact.record_refused(server)
+        else:
+            self._contact.record_opened(self._clock.now())
+            self._suspects.clear()
 
     def _obstacle(self, call: Call, server: Server) -> str:
         """Returns why a request must not be sent now; empty if it may be."""
@@ -236,12 +286,27 @@
 
     def _record_failure(
         self, attempt: Attempt, outcome: NoResponse, now: float
-    ) -> NoResponse:
+    ) -> None:
         server = attempt.choice.server
         server_state = self._placement.state_of(server)
+        is_not_sent = isinstance(outcome, NotSent)
+        if outcome.connection_failed and not is_not_sent:
+            self._contact.record_broken(now)
+        if self._contact.is_lost:
+            # Says nothing about the server.
+            return
         if outcome.connection_failed:
+            known = self._suspects.get(server.name)
+            cold_until = known[1] if known else server.cold_until
             server_state.record_connection_failure(now)
             self._mark_cold(server, now)
+            self._suspects[server.name] = (
+                server,
+                cold_until,
+                server.cold_until,
+            )
+        elif is_not_sent:
+            return
         elif outcome.reason == "deadline_passed":
             # Counts as a slow response, not as a failure of the server.
             waited_s = now - server_state.last_sent_at
@@ -254,7 +319,6 @@
             server_state.record_failure(now)
         if outcome.verdict is not Verdict.NOT_RUN:
             self._record_version_outcome(attempt, True, 0.0)
-        return outcome
 
     def _record_cancelled(self, attempt: Attempt, waited_s: float) -> None:
         """Records an attempt that was cancelled before its end.
@@ -264,7 +328,7 @@
         had already taken longer than expected.
         """
         ratio = waited_s / max(0.01, attempt.choice.expected_cold_s)
-        if ratio > 1.0:
+        if ratio > 1.0 and not self._contact.is_lost:
             server_state = self._placement.state_of(attempt.choice.server)
             server_state.record_response(ratio, None, self._clock.now())
             self._record_version_outcome(attempt, False, waited_s)
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from radishmux.config.routing import RouteKind
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.request_state import RequestState
@@ -44,10 +46,18 @@
         self._placement = placement
         self._sender = sender
 
-    def choose(self, state: RequestState, now: float) -> Choice | None:
+    def choose(
+        self, state: RequestState, now: float, only_reachable: bool = False
+    ) -> Choice | None:
         """Returns the server for the next attempt, or None if there is none.
 
         Counts as a request in the rollout of the service.
+
+        Args:
+            state: The request.
+            now: Monotonic seconds.
+            only_reachable: Whether servers are left out to which no connection
+                is open, while no new one can be opened.
         """
         route = state.route
         key = None
@@ -67,12 +77,15 @@
             is_retry=bool(state.tried_servers),
         )
         rule = self._rollouts.next_rule(state.service, route.name, now)
-        choice = self._choose_with_rule(rule, state, placement_request, now)
+        may_use = self._may_use_reachable if only_reachable else self._may_use
+        choice = self._choose_with_rule(
+            rule, state, placement_request, may_use, now
+        )
         if choice is None and rule.only is not None:
             # No server of the rule's version can take the request.
             fallback = VersionRule(never=rule.only)
             choice = self._choose_with_rule(
-                fallback, state, placement_request, now
+                fallback, state, placement_request, may_use, now
             )
         return choice
 
@@ -81,15 +94,23 @@
         rule: VersionRule,
         state: RequestState,
         placement_request: PlacementRequest,
+        may_use: Callable[[RequestState, Server, float], bool],
         now: float,
     ) -> Choice | None:
         return self._placement.choose(
             placement_request,
             self._fleet.usable_servers(state.service, state.regions, rule),
-            lambda server: self._may_use(state, server, now),
+            lambda server: may_use(state, server, now),
             now,
         )
 
+    def _may_use_reachable(
+        self, state: RequestState, server: Server, now: float
+    ) -> bool:
+        return self._sender.can_reach(server, now) and self._may_use(
+            state, server, now
+        )
+
     def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
         """Whether a request may go to a server that is not paused."""
         denied = state.unavailable_servers
@@ -99,6 +120,11 @@
             return False
         return self._sender.may_send(server, now)
 
+    def expected_cold_s(self, state: RequestState) -> float:
+        """Returns the time that a server takes if the object is cold."""
+        route = state.route.name
+        return self._placement.work_times(state.service, route).cold_s
+
     def describe_rejection(
         self,
         state: RequestState,
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -95,6 +95,7 @@
         self._in_request = False
         self._in_body = False
         self._received_at = 0.0
+        self._remote_host = ""
 
     # Methods of asyncio.Protocol.
 
@@ -104,6 +105,8 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._remote_end = RemoteEnd(self._transport)
+        peer = transport.get_extra_info("peername")
+        self._remote_host = peer[0] if peer else ""
         self._server.add_connection(self)
         self._set_timer(self._server.limits.idle_timeout_s, self.close)
 
@@ -245,6 +248,7 @@
             body,
             self._received_at,
             self.has_caller_left,
+            self._remote_host,
         )
         pending = _PendingResponse(
             not self._parser.should_keep_alive(), method == "HEAD", len(body)
--- a/src/radishmux/http/incoming.py
+++ b/src/radishmux/http/incoming.py
@@ -31,6 +31,7 @@
         has_caller_left: Whether the caller has closed the connection. Asks the
             kernel, so that it holds also before the event loop has read the
             end of input. The handler is cancelled if it has.
+        remote_host: Address of the other end, without the port.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         "headers",
         "method",
         "received_at",
+        "remote_host",
         "target",
     )
 
@@ -50,7 +52,9 @@
         body: bytes,
         received_at: float,
         has_caller_left: Callable[[], bool] = _stays,
+        remote_host: str = "",
     ) -> None:
+        self.remote_host = remote_host
         self.method = method
         self.target = target
         self.headers = headers
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -42,6 +42,7 @@
             of slow callers are aborted.
         on_not_started: Called with each request that is not passed to the
             handler because its caller has left.
+        max_held_bytes: Memory for the bodies of unanswered requests.
     """
 
     def __init__(
@@ -52,7 +53,9 @@
         on_rejected: Callable[[str], None] | None = None,
         max_unsent_bytes: int = MAX_UNSENT_BYTES,
         on_not_started: Callable[[IncomingRequest], None] | None = None,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
+        self._max_held_bytes = max_held_bytes
         self._on_not_started = on_not_started
         self._max_unsent_bytes = max_unsent_bytes
         self._slow_connections: set[Connection] = set()
@@ -187,7 +190,7 @@
         Returns:
             False if the limit for all bodies would be exceeded.
         """
-        if self._held_bytes + size > MAX_HELD_BYTES:
+        if self._held_bytes + size > self._max_held_bytes:
             return False
         self._held_bytes += size
         return True
--- a/src/radishmux/membership/peers.py
+++ b/src/radishmux/membership/peers.py
@@ -27,6 +27,7 @@
         "grace_started_at",
         "heard_at",
         "incarnation",
+        "is_cut_off",
         "is_leaving",
     )
 
@@ -35,6 +36,7 @@
         self.heard_at = -math.inf
         self.dead_at = -math.inf
         self.incarnation = 0
+        self.is_cut_off = False
         self.is_leaving = False
 
     @property
@@ -44,7 +46,7 @@
 
 
 class MemberStatus:
-    """State of a leaving or silent member, as reported by a hub.
+    """State of a leaving, silent or cut-off member, as reported by a hub.
 
     Attributes:
         instance: Name of the member.
@@ -53,9 +55,16 @@
             should use another instance.
         is_silent: Whether the hub has received no recent report from the
             member.
+        is_cut_off: Whether the member reaches no backend server.
     """
 
-    __slots__ = ("incarnation", "instance", "is_leaving", "is_silent")
+    __slots__ = (
+        "incarnation",
+        "instance",
+        "is_cut_off",
+        "is_leaving",
+        "is_silent",
+    )
 
     def __init__(
         self,
@@ -63,7 +72,9 @@
         incarnation: int,
         is_leaving: bool,
         is_silent: bool,
+        is_cut_off: bool = False,
     ) -> None:
+        self.is_cut_off = is_cut_off
         self.instance = instance
         self.incarnation = incarnation
         self.is_leaving = is_leaving
@@ -188,7 +199,12 @@
         self._monitored = names
 
     def record_report(
-        self, name: str, incarnation: int, is_leaving: bool, heard_at: float
+        self,
+        name: str,
+        incarnation: int,
+        is_leaving: bool,
+        heard_at: float,
+        is_cut_off: bool = False,
     ) -> bool:
         """Records a report from a peer, or a hub's report about the peer.
 
@@ -198,6 +214,7 @@
             is_leaving: Whether the peer is shutting down, so that callers
                 should use another instance.
             heard_at: Time of the report, monotonic seconds.
+            is_cut_off: Whether the peer reaches no backend server.
 
         Returns:
             False if the peer is unknown or a newer incarnation is known.
@@ -208,6 +225,7 @@
         if heard_at > peer.heard_at or incarnation > peer.incarnation:
             peer.heard_at = heard_at
             peer.incarnation = incarnation
+            peer.is_cut_off = is_cut_off
             peer.is_leaving = is_leaving
         return True
 
@@ -223,13 +241,14 @@
     def unavailable_members(
         self, region: str, now: float
     ) -> list[MemberStatus]:
-        """Returns the leaving and the silent peers of a region."""
+        """Returns the leaving, silent and cut-off peers of a region."""
         members = [
             MemberStatus(
                 name,
                 peer.incarnation,
                 peer.is_leaving,
                 not self.is_heard(name, now),
+                peer.is_cut_off,
             )
             for name, peer in self._peers.items()
             if self._records[name].region == region
@@ -237,7 +256,7 @@
         return [
             member
             for member in members
-            if member.is_leaving or member.is_silent
+            if member.is_leaving or member.is_silent or member.is_cut_off
         ]
 
     def apply_hub_report(
@@ -247,21 +266,28 @@
 
         Args:
             region: Region of the hub.
-            exceptions: Members that are leaving or silent. All other peers of
-                the region count as heard.
+            exceptions: Members that are leaving, silent or cut off. All other
+                peers of the region count as heard.
             now: Monotonic seconds.
         """
-        silent = set()
+        silent, cut_off = set(), set()
         for member in exceptions:
+            if member.is_cut_off:
+                cut_off.add(member.instance)
             if member.is_silent:
                 silent.add(member.instance)
             else:
                 self.record_report(
-                    member.instance, member.incarnation, member.is_leaving, now
+                    member.instance,
+                    member.incarnation,
+                    member.is_leaving,
+                    now,
+                    member.is_cut_off,
                 )
         for name, peer in self._peers.items():
             if name not in silent and self._records[name].region == region:
                 peer.heard_at = max(peer.heard_at, now)
+                peer.is_cut_off = name in cut_off
 
     def is_heard(self, name: str, now: float) -> bool:
         """Whether the latest report of a peer is recent and it is not dead."""
@@ -282,6 +308,11 @@
         peer = self._peers.get(name)
         return peer is not None and peer.is_leaving
 
+    def is_cut_off(self, name: str) -> bool:
+        """Whether the latest report of a peer says it reaches no server."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.is_cut_off
+
     def is_reachable(self, name: str, now: float) -> bool:
         """Whether a peer is heard or joining; it may also be leaving."""
         peer = self._peers.get(name)
--- a/src/radishmux/membership/record.py
+++ b/src/radishmux/membership/record.py
@@ -22,6 +22,8 @@
         caller_address: `ip:port` for callers.
         peer_address: `ip:port` for other instances.
         capacity: Requests per second that the instance can serve.
+        relay_address: `ip:port` for requests that other instances relay; empty
+            if it accepts none.
     """
 
     instance: str
@@ -31,6 +33,7 @@
     caller_address: str
     peer_address: str
     capacity: float = 1.0
+    relay_address: str = ""
 
 
 def capacity_per_s(cores: float, link_mbps: float) -> float:
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -161,6 +161,8 @@
   2: i64 incarnation,
   3: bool leaving,
   4: bool silent,
+  // Whether it reaches no backend server.
+  5: bool cut_off = false,
 }
 
 struct StoreChange {
@@ -189,6 +191,8 @@
   5: string caller_address,
   6: string peer_address,
   7: double capacity,
+  // Address for relayed requests; empty: it accepts none.
+  8: string relay_address = "",
 }
 
 // Gossip report that an instance sends to its peers twice per second. The reply
@@ -222,6 +226,8 @@
   // Revision of the store up to which the sender has all changes; -1: none. An
   // instance that hears of a later era lists the store again.
   14: i64 store_revision = -1,
+  // Whether the sender reaches no backend server.
+  15: bool cut_off = false,
 }
 
 // Requests tokens from a customer's token holder. The holder removes the granted
@@ -290,6 +296,41 @@
   1: list<MovedHolding> holdings,
 }
 
+struct Header {
+  1: string name,
+  2: string value,
+}
+
+// A caller's request that the sender has admitted and cannot send to any backend
+// server itself. The receiver makes one attempt at a server.
+struct RelayRequest {
+  1: string method,
+  2: string target,
+  3: list<Header> headers,
+  4: binary body,
+  // Version of the configuration that admitted the request. A receiver with an
+  // older one does not send it.
+  5: i64 config_version,
+  // Service that the sender has chosen among the route's destinations.
+  6: string service_name,
+  // Servers that must not get it, since they were tried or cannot take it now.
+  7: list<string> tried,
+  8: list<string> unavailable,
+  9: i32 remaining_ms,
+}
+
+struct RelayOutcome {
+  // "response"; "not_sent": no server has got it; "not_run" and "may_have_run":
+  // it was sent and there is no usable response.
+  1: string outcome,
+  2: string reason,
+  // Server that was tried or could not take it; empty: none.
+  3: string server,
+  4: i32 status,
+  5: list<Header> headers,
+  6: binary body,
+}
+
 struct Done {
   1: bool accepted,
   2: string reason,
@@ -317,6 +358,8 @@
   19: Holdings holdings,
   20: SendPermitRequest send_permit_request,
   21: SendPermit send_permit,
+  22: RelayRequest relay_request,
+  23: RelayOutcome relay_outcome,
 }
 
 struct Envelope {
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -22,7 +22,9 @@
         caller: Requests of callers.
         ready: Readiness checks of the platform.
         directory: Lookups of callers, which ask for the instance to use.
-        peer_ports: First and last port available for peer connections.
+        peer_ports: First and last port available for peer connections: the
+            first one takes messages, the last one relayed requests. Requests
+            are not relayed to this instance if they are the same.
         metrics: Metrics for Prometheus; not served if empty.
     """
 
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -58,6 +58,7 @@
     __slots__ = (
         "_failure_share",
         "_failure_share_at",
+        "_before_failures",
         "_consecutive_failures",
         "_mean_other_load",
         "_objects",
@@ -89,6 +90,11 @@
         self._failure_share_at = 0.0
         self._consecutive_failures = 0
         self._objects: OrderedDict[int, float] = OrderedDict()
+        # Pause, failure share with its time, and objects before the latest
+        # consecutive connection failures.
+        self._before_failures: (
+            tuple[float, float, float, OrderedDict[int, float]] | None
+        ) = None
 
     @property
     def unavailable_until(self) -> float:
@@ -176,6 +182,7 @@
         self._slowness_at = now
         self._update_failure_share(0.0, now)
         self._consecutive_failures = 0
+        self._before_failures = None
         if key is not None:
             self._objects[key] = now
             self._objects.move_to_end(key)
@@ -188,12 +195,31 @@
 
     def record_connection_failure(self, now: float) -> None:
         """Records a connection that could not be opened or broke."""
+        if self._before_failures is None:
+            self._before_failures = (
+                self.paused_until,
+                self._failure_share,
+                self._failure_share_at,
+                self._objects,
+            )
         pause = FIRST_PAUSE_S * 2**self._consecutive_failures
         self._consecutive_failures += 1
         self.paused_until = now + min(pause, MAX_PAUSE_S)
         self._update_failure_share(1.0, now)
         # The server's cache is cold if it has restarted.
-        self._objects.clear()
+        self._objects = OrderedDict()
+
+    def undo_connection_failures(self) -> None:
+        """Forgets connection failures that were not the server's fault."""
+        if self._before_failures is None or self.paused_until == math.inf:
+            return
+        paused_until, share, share_at, objects = self._before_failures
+        self.paused_until = paused_until
+        self._failure_share = share
+        self._failure_share_at = share_at
+        self._objects = objects
+        self._consecutive_failures = 0
+        self._before_failures = None
 
     def record_shed(self, now: float) -> None:
         """Records a request that the server shed because its queue is full."""
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -144,6 +144,22 @@
         " name of the error.",
         "outcome",
     ),
+    _gauge(
+        "gateway_server_contact",
+        "Whether new connections to backend servers can be opened: 1 or 0.",
+    ),
+    _counter(
+        "gateway_relays_total",
+        "Requests passed to peers that reach backend servers; outcome is"
+        " 'response' or why there is none.",
+        "outcome",
+    ),
+    _counter(
+        "gateway_relayed_total",
+        "Requests sent to backend servers for peers that reach none; outcome"
+        " is the status or why there is none.",
+        "outcome",
+    ),
     _gauge(
         "gateway_server_response_age_seconds",
         "Time since a backend server last responded, or since the start.",
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -38,10 +38,11 @@
     """One gateway daemon in a process of its own."""
 
     def __init__(self, name, region, domain, store, folder, **settings):
-        addresses = free_addresses(5)
+        addresses = free_addresses(6)
         self.name = name
         self.caller, self.ready, self.directory, self.metrics = addresses[:4]
-        host, _, peer_port = addresses[4].rpartition(":")
+        host = addresses[4].rpartition(":")[0]
+        peer_ports = [int(one.rpartition(":")[2]) for one in addresses[4:]]
         self.path = folder / f"{name}.jsonc"
         self.settings = {
             "instance": name,
@@ -54,7 +55,7 @@
                 "ready": self.ready,
                 "directory": self.directory,
                 "metrics": self.metrics,
-                "peer_ports": [int(peer_port), int(peer_port)],
+                "peer_ports": peer_ports,
             },
             "store": {"address": store, "min_lease_s": None},
             "bounds": {"grace_s": 4.0, "quota_slack": 20},
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -25,6 +25,7 @@
 from radishmux.settings.gateway import Bounds
 from radishmux.shift.rollout import ANY_VERSION
 from radishmux.steer.placement import Placement
+from radishmux.steer.server_contact import ServerContact
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
 from tests.gateway import parts
@@ -124,6 +125,8 @@
         dialect,
         SystemClock(),
         DecisionLog(lines, "i1", lambda: 1, Metrics()),
+        ServerContact(),
+        relay=None,
     )
     return flow, lines
 
--- a/tests/gateway/test_waits_of_departed_callers.py
+++ b/tests/gateway/test_waits_of_departed_callers.py
@@ -28,6 +28,7 @@
 from radishmux.shift.rollout import ANY_VERSION
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Placement
+from radishmux.steer.server_contact import ServerContact
 from radishmux.telemetry.metrics import Metrics
 from tests.departing_caller import DepartingCaller
 from tests.gateway import parts
@@ -158,10 +159,12 @@
         self.log = Log()
         placement = Placement("a", "a-1")
         clock, metrics = SystemClock(), Metrics()
+        contact = ServerContact()
         sender = ServerSender(
             fleet,
             placement,
             ColdRateLimiter("i1"),
+            contact,
             self.permits,
             self.rollouts,
             dialect,
@@ -177,6 +180,8 @@
             dialect,
             clock,
             DecisionLog(self.log, "i1", lambda: 1, metrics),
+            contact,
+            relay=None,
         )
 
 
