--- a/src/radishmux/membership/helpers.py
+++ b/src/radishmux/membership/helpers.py
@@ -6,6 +6,11 @@
 
 from radishmux.membership.record import InstanceRecord
 
+# Instances that reach no server for each helper, up to which the peers of the
+# failure domain, and of the region, help alone. Another domain is 1 ms away,
+# another region is as far as a third of many target latencies.
+MAX_CUT_PER_HELPER = {"domain": 1, "region": 3}
+
 
 def candidate_helpers(
     own: InstanceRecord,
@@ -15,10 +20,9 @@
 ) -> list[InstanceRecord]:
     """Returns the nearest peers that can take over the requests of this one.
 
-    The peers of the failure domain do if they are at least as many as its
-    instances that reach no server, or else those of the region, or else all:
-    a helper serves at most about twice its usual load, unless there are fewer
-    helpers than that in the whole fleet.
+    The peers of the failure domain do unless more of its instances reach no
+    server: each then serves about twice its usual load. Otherwise those of the
+    region do, which may serve more, and otherwise all.
 
     Args:
         own: Record of this instance.
@@ -33,13 +37,13 @@
             cut_off.append(peer)
         elif peer.relay_address and (not regions or peer.region in regions):
             helpers.append(peer)
-    near: Callable[[InstanceRecord], bool]
-    for near in (
-        lambda one: one.failure_domain == own.failure_domain,
-        lambda one: one.region == own.region,
-    ):
-        found = list(filter(near, helpers))
-        if found and len(found) >= sum(map(near, cut_off)):
+    is_near: dict[str, Callable[[InstanceRecord], bool]] = {
+        "domain": lambda one: one.failure_domain == own.failure_domain,
+        "region": lambda one: one.region == own.region,
+    }
+    for level, max_cut in MAX_CUT_PER_HELPER.items():
+        found = list(filter(is_near[level], helpers))
+        if max_cut * len(found) >= sum(map(is_near[level], cut_off)):
             return found
     return helpers
 
