Name no instance in the directory that reaches no server

What callers saw: all through a cut the directory of every instance named the cut ones, so that each request took one hop more than it had to.

Cause: the directory knew only leaving and silent instances.

Evidence: test_callers_are_sent_to_instances_that_reach_servers and test_hub_tells_which_members_reach_no_server fail without the change.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -459,7 +459,16 @@
         if not self._leaving:
             instances.append(self._record)
         ttl_s = min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_s)
-        return nearest(instances, region, failure_domain, self._rng), ttl_s
+        found = nearest(
+            instances, region, failure_domain, self._rng, self._is_cut_off
+        )
+        return found, ttl_s
+
+    def _is_cut_off(self, instance: str) -> bool:
+        """Whether an instance, also this one, reaches no backend server."""
+        if instance == self._settings.instance:
+            return self._contact.is_lost
+        return self._peers.is_cut_off(instance)
 
 
 def _relay_address(settings: GatewaySettings) -> str:
--- a/src/radishmux/steer/directory.py
+++ b/src/radishmux/steer/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from radishmux.membership.record import InstanceRecord
 
@@ -23,6 +23,7 @@
     region: str,
     failure_domain: str,
     rng: random.Random,
+    is_cut_off: Callable[[str], bool] = lambda instance: False,
 ) -> list[InstanceRecord]:
     """Returns the instances closest to a caller.
 
@@ -31,20 +32,27 @@
     instances, most callers would use a distant one, and a small instance would
     get as many requests as a large one.
 
+    Instances that reach no backend server can only pass requests on to others.
+    They are named if there is no other instance in the caller's region, since
+    an instance in another region is as far away as the one that they use.
+
     Args:
         instances: Instances that are live and not leaving.
         region: Region of the caller.
         failure_domain: Failure domain of the caller.
         rng: Source of randomness for sampling instances of unequal capacity.
+        is_cut_off: Returns whether the named instance reaches no server.
     """
     known = list(instances)
     in_region = [instance for instance in known if instance.region == region]
-    in_domain = [
-        instance
-        for instance in in_region
-        if instance.failure_domain == failure_domain
-    ]
-    return _sample_by_capacity(in_domain or in_region or known, rng)
+    for group in (in_region, known):
+        usable = [one for one in group if not is_cut_off(one.instance)] or group
+        in_domain = [
+            one for one in usable if one.failure_domain == failure_domain
+        ]
+        if usable:
+            return _sample_by_capacity(in_domain or usable, rng)
+    return []
 
 
 def _sample_by_capacity(
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -162,3 +162,34 @@
     peers = make()
     peers.apply_introduction(record("own", incarnation=9), 1.0)
     assert "own" not in peers.records
+
+
+# RECOVER: the directory named instances that reached no server.
+def test_callers_are_sent_to_instances_that_reach_servers():
+    known = [
+        record("1", domain="a-1"),
+        record("2", domain="a-2"),
+        record("3", domain="b-1"),
+    ]
+
+    def found(*cut_off):
+        chosen = nearest(known, "a", "a-1", RNG, cut_off.__contains__)
+        return [one.instance for one in chosen]
+
+    assert found() == ["1"]
+    assert found("1") == ["2"]
+    # An instance of another region is no nearer than the helpers of these.
+    assert found("1", "2") == ["1"]
+
+
+def test_hub_tells_which_members_reach_no_server():
+    hub, member = Peers(record("h")), Peers(record("m"))
+    for peers in (hub, member):
+        peers.set_records([record("x")], 1.0)
+    hub.record_report("x", 1, False, 1.0, is_cut_off=True)
+    member.apply_hub_report("a", hub.unavailable_members("a", 1.1), 1.1)
+    assert member.is_cut_off("x")
+    assert member.is_heard("x", 1.2)
+    hub.record_report("x", 1, False, 1.5)
+    member.apply_hub_report("a", hub.unavailable_members("a", 1.6), 1.6)
+    assert not member.is_cut_off("x")
