--- a/tests/gateway/cut_fleet.py
+++ b/tests/gateway/cut_fleet.py
@@ -111,13 +111,27 @@
                     call.status = response.status
         call.took_s = time.monotonic() - call.sent_at
 
-    async def runs_by_id(self):
-        """Returns how often each request was run, by its id."""
-        counts = {}
-        for ran in (await self.fleet.executed()).values():
-            for run in ran:
-                counts[run["id"]] = counts.get(run["id"], 0) + 1
-        return counts
+    async def runs(self):
+        """Returns what all servers have run."""
+        ran = (await self.fleet.executed()).values()
+        return [run for of_server in ran for run in of_server]
+
+    def held_ms(self):
+        """Returns how long the gateways held each request, by its id."""
+        lines = [
+            msgspec.json.decode(line)
+            for gateway in self.fleet.gateways
+            for line in gateway.log_text().splitlines()
+            if line.startswith("{")
+        ]
+        return {
+            line["request"]: line["ms"] for line in lines if "request" in line
+        }
+
+    async def running(self):
+        """Returns the number of requests that all servers work on."""
+        shown = [await one.show() for one in self.fleet.servers.values()]
+        return sum(one["running"] for one in shown)
 
 
 @contextlib.asynccontextmanager
@@ -164,4 +178,11 @@
     return sum(call.status == 200 for call in chosen) / len(chosen)
 
 
-__all__ = ["CONTACT_S", "GATEWAYS", "Link", "run_cut_fleet", "served_share"]
+__all__ = [
+    "CONTACT_S",
+    "DEADLINE_MS",
+    "GATEWAYS",
+    "Link",
+    "run_cut_fleet",
+    "served_share",
+]
