Cut gateways off from all servers in the soak

Gateways see the servers through links of their own, which a fault cuts silently, by reset, or for new connections only, for 2 to 9 s and also several at a time; the gateway stays in touch for all other checks. The check CUT is the users' RECOVER for such gateways, with their bounds.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -35,10 +35,17 @@
 # of one gateway that may.
 GONE_S = 0.5
 GONE_FEW = 3
+# First tries at cut gateways are served at least this often, relative to those
+# at the others, or at most so many of all fail there.
+CUT_RATIO = 2 / 3
+CUT_FEW, CUT_SHARE = 10, 1 / 50
 RECOVERY_S = 15.0
 RECOVERED_SHARE = 0.25
 # These statuses say that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
+# Kind of the fault that parts a gateway from all servers, and prefix of its
+# target: the gateway stays in touch.
+CUT = "gateway_cut:"
 # Faults of gateways and their links to the store.
 _STORE_WIDE = ""
 
@@ -372,3 +379,41 @@
     if late and served < RECOVERED_SHARE * len(late):
         detail = f"{served} of {len(late)} served after the faults"
         yield Violation("RECOVER", since, detail)
+
+
+@CHECKS.register("CUT")
+def _cut_gateways(history: History) -> Iterator[Violation]:
+    """The users' RECOVER for gateways that are parted from all servers."""
+    cuts = [one for one in history.disruptions if one.kind == CUT]
+    others = [one for one in history.disruptions if one.kind != CUT]
+    for cut in cuts:
+        together = [
+            one
+            for one in cuts
+            if one.since <= cut.until and one.until >= cut.since
+        ]
+        since = max(one.since for one in together) + CONTACT_S
+        until = min(one.until for one in together)
+        if any(one.since <= until and one.until >= cut.since for one in others):
+            continue
+        cut_gateways = {one.target.removeprefix(CUT) for one in together}
+        calls = [
+            one
+            for one in history.calls
+            if since <= one.sent_at < until
+            and one.customer not in history.rates
+        ]
+        there = [one for one in calls if one.gateway in cut_gateways]
+        elsewhere = [one for one in calls if one.gateway not in cut_gateways]
+        if not there or not elsewhere:
+            continue
+        served, served_elsewhere = map(_served_share, (there, elsewhere))
+        failed = sum(one.status != 200 for one in there)
+        is_worse = served < CUT_RATIO * served_elsewhere
+        if is_worse and failed > CUT_FEW + CUT_SHARE * len(calls):
+            detail = f"{served:.2f} served, elsewhere {served_elsewhere:.2f}"
+            yield Violation("CUT", since, f"{sorted(cut_gateways)}: {detail}")
+
+
+def _served_share(calls: list[Call]) -> float:
+    return sum(call.status == 200 for call in calls) / len(calls)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -52,6 +52,7 @@
 KINDS: Registry[str, Draw] = Registry("fault")
 
 _LINKS = ("SLOW", "SILENT", "DEAF", "MUTE", "CLOSED")
+_CUTS = ("CUT_SILENT", "CUT_RESET", "CUT_NEW")
 
 
 def draw(seed: int, load_s: float) -> Schedule:
@@ -98,6 +99,15 @@
     return {"target": _gateway(rng, schedule), "for_s": _length(rng)}
 
 
+@KINDS.register("gateway_cut")
+def _cut(rng: random.Random, schedule: Schedule) -> dict[str, object]:
+    return {
+        "target": _gateway(rng, schedule),
+        "for_s": round(rng.uniform(2.0, 9.0), 2),
+        "how": rng.choice(_CUTS),
+    }
+
+
 @KINDS.register("callers_leave")
 def _callers_leave(rng: random.Random, schedule: Schedule) -> dict[str, object]:
     how = rng.choice(("close", "reset", "half-close"))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -89,10 +89,13 @@
         self.gateways: list[Gateway] = []
         self.servers: list[Server] = []
         self.store_links: list[FaultProxy] = []
+        # What each gateway connects to in place of the servers' proxies.
+        self.server_links: list[list[FaultProxy]] = []
 
     async def __aenter__(self) -> SoakFleet:
         enter = self._stack.enter_async_context
-        self.store = await enter(standin("platform_store"))
+        listen = ["127.0.0.1:0"] * (1 + self._counts[0])
+        self.store = await enter(standin("platform_store", listen))
         self.platform = Fleet(self.store, {}, self._folder)
         for number in range(self._counts[1]):
             server = Server(number, await enter(FaultProxy()))
@@ -101,8 +104,9 @@
         await self.configure()
         for number in range(self._counts[0]):
             link = await enter(FaultProxy())
-            link.target = self.store.address
+            link.target = self.store.addresses[1 + number]
             self.store_links.append(link)
+            self.server_links.append(await self._link_servers())
             domain = DOMAINS[number % len(DOMAINS)]
             gateway = Gateway(
                 f"g{number}",
@@ -113,10 +117,26 @@
                 full_mesh_max=self._full_mesh_max,
             )
             self.gateways.append(gateway)
+        views = {
+            link.target: {one.target: one.address for one in links}
+            for link, links in zip(
+                self.store_links, self.server_links, strict=True
+            )
+        }
+        await self.platform.set_views(views)
         await asyncio.gather(*(self.start(one) for one in self.gateways))
         self._tasks.append(asyncio.create_task(self._heartbeats()))
         return self
 
+    async def _link_servers(self) -> list[FaultProxy]:
+        """Returns the links of one gateway to all servers."""
+        links = []
+        for server in self.servers:
+            link = await self._stack.enter_async_context(FaultProxy())
+            link.target = server.proxy.address
+            links.append(link)
+        return links
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from radishmux.registry import Registry
+from soak.checks import CUT
 from soak.departing_callers import DepartingCallers
 from soak.faults import Fault, Schedule
 from soak.fleet import LEAVE_AFTER_S, Server, SoakFleet
@@ -102,6 +103,20 @@
     async def _reload(self, fault: Fault) -> None:
         self._fleet.signal(self._gateway(fault), signal.SIGHUP)
 
+    @_INJECT.register("gateway_cut")
+    async def _cut(self, fault: Fault) -> None:
+        """Parts a gateway from all servers; it stays in touch otherwise."""
+        gateway = self._gateway(fault)
+        links = self._fleet.server_links[self._fleet.gateways.index(gateway)]
+        async with self._lock(f"server links of {gateway.name}"):
+            disruption = self._fleet.disrupt(CUT, CUT + gateway.name)
+            for link in links:
+                link.set_link(Link[fault.how])
+            await asyncio.sleep(fault.for_s)
+            for link in links:
+                link.set_link(Link.SOUND)
+            disruption.until = time.time()
+
     @_INJECT.register("store_link")
     async def _store_link(self, fault: Fault) -> None:
         gateway = self._gateway(fault)
--- a/tests/gateway/cut_fleet.py
+++ b/tests/gateway/cut_fleet.py
@@ -163,10 +163,7 @@
                 views[listener][server.address] = proxy.address
             gateway = fleet.create(name, domain, **settings)
             gateway.settings["store"]["address"] = listener
-        async with aiohttp.ClientSession() as session:
-            url = f"http://{fleet.store.address}/views"
-            async with session.post(url, json=views) as response:
-                response.raise_for_status()
+        await fleet.set_views(views)
         cut_fleet = CutFleet(fleet, links)
         await cut_fleet.set_servers(slots=SLOTS)
         yield cut_fleet
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -130,6 +130,17 @@
                 response.raise_for_status()
                 return (await response.json())["Revision"]
 
+    async def set_views(self, views):
+        """Sets what the clients of each listener of the store see.
+
+        Args:
+            views: By listener, the addresses in place of those of servers.
+        """
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{self.store.address}/views"
+            async with session.post(url, json=views) as response:
+                response.raise_for_status()
+
     def create(self, name, domain="a-1", **settings):
         """Returns one more gateway daemon, which is not started yet."""
         gateway = Gateway(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 from rich.console import Console
 
-from soak.checks import CHECKS, RECOVERY_S, violations
+from soak.checks import CHECKS, CONTACT_S, CUT, RECOVERY_S, violations
 from soak.faults import KINDS, Fault, Schedule, draw
 from soak.records import Act, Arrival, Call, Disruption, History, Run
 from soak.report import show
@@ -127,6 +127,18 @@
         runs=[run()],
         disruptions=[term()],
     ),
+    "CUT": History(
+        calls=[
+            call(f"{gateway}-{n}", gateway=gateway, status=status)
+            for gateway, status in (("g0", 503), ("g1", 200))
+            for n in range(20)
+        ],
+        disruptions=[
+            Disruption(
+                kind=CUT, target=f"{CUT}g0", since=10.0 - CONTACT_S, until=11.0
+            )
+        ],
+    ),
     "RECOVER": History(
         calls=[call(sent_at=20.0, status=503)], faults_end=20.0 - RECOVERY_S
     ),
