--- a/src/radishmux/cli/request_commands.py
+++ b/src/radishmux/cli/request_commands.py
@@ -72,7 +72,12 @@
         f"backend server {attempt['server']}"
         for attempt in line.get("attempts", ())
     ]
-    subjects += ["configuration", "store", "instance"]
+    subjects += [
+        "contact with backend servers",
+        "configuration",
+        "store",
+        "instance",
+    ]
     known = [
         changes[(instance, subject)]
         for subject in subjects
@@ -103,6 +108,10 @@
                 f"    sent to {attempt['server']}: {attempt['expected_ms']} ms"
                 f" expected, {attempt['load']} requests there, {warm}"
             )
+        parts.extend(
+            f"    passed to {peer}, which reaches servers"
+            for peer in line.get("relayed_via", ())
+        )
         if "last_failure" in line:
             parts.append(f"    last failure: {line['last_failure']}")
         if "detail" in line:
--- a/tests/cli/test_request_commands.py
+++ b/tests/cli/test_request_commands.py
@@ -61,3 +61,17 @@
 )
 def test_unknown_request_and_missing_file(log, arguments, code):
     assert run(*arguments, "--log", log).exit_code == code
+
+
+def test_request_that_a_peer_sent_is_explained(tmp_path):
+    path = tmp_path / "i1.log"
+    path.write_text(
+        '{"time":"t0","instance":"i1","subject":"contact with backend servers",'
+        '"state":"lost"}\n'
+        '{"time":2.5,"instance":"i1","event":"request","outcome":"answered",'
+        '"config_version":5,"request":"abc","ms":120,"attempts":[],'
+        '"relayed_via":["i2"]}\n'
+    )
+    output = run("abc", "--log", str(path)).output
+    assert "passed to i2, which reaches servers" in output
+    assert "contact with backend servers was lost" in output
