Give up waits for connections when no server can be reached

What callers saw: in the second second of a silent cut their requests were served, after 1.06 to 1.10 s in the median.

Cause: requests that waited for a connection to a server went on waiting for their own second after the instance had found that it reaches no server.

Evidence: test_waits_for_a_connection_can_be_given_up has no call to make without the change.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import math
+import random
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from radishmux.clock import Clock
 from radishmux.dispatch.response_memory import ResponseMemory
@@ -63,6 +66,8 @@
         self._clock = clock
         self._idle: list[ServerConnection] = []
         self._open_count = 0
+        # Time limits of the attempts to connect in progress.
+        self._connecting: set[asyncio.Timeout] = set()
 
     @property
     def open_count(self) -> int:
@@ -86,6 +91,26 @@
         self._release(connection)
         return True
 
+    def give_up_connecting(self, within_s: float) -> None:
+        """Lets the attempts to connect time out soon.
+
+        Args:
+            within_s: Time over which the ends are spread, in seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        for limit in self._connecting:
+            until = now + random.uniform(0.0, within_s)
+            if not limit.expired() and until < (limit.when() or math.inf):
+                limit.reschedule(until)
+
+    @contextlib.asynccontextmanager
+    async def _tracked(self, limit: asyncio.Timeout) -> AsyncIterator[None]:
+        self._connecting.add(limit)
+        try:
+            yield
+        finally:
+            self._connecting.discard(limit)
+
     def close(self) -> None:
         """Closes the idle connections."""
         for connection in self._idle:
@@ -164,7 +189,7 @@
         loop = asyncio.get_running_loop()
         self._open_count += 1
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(wait_s) as limit, self._tracked(limit):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
                         self._clock, self._memory, self._probes_silence
--- a/src/radishmux/gateway/contact_monitor.py
+++ b/src/radishmux/gateway/contact_monitor.py
@@ -81,10 +81,12 @@
         )
         if not targets:
             return
-        accepted = await asyncio.gather(*map(self._sender.probe, targets))
+        accepted = await asyncio.gather(
+            *map(self._sender.connections.probe, targets)
+        )
         if not any(accepted) and not self._contact.is_lost:
             self._contact.record_probes(now)
-            self._sender.undo_connection_failures()
+            self._sender.on_contact_lost()
 
 
 def _accepts_connections(server: Server) -> bool:
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -312,7 +312,9 @@
         has_connections = self._contact.trusts_open_connections(now)
         if has_connections:
             choice = self._chooser.choose(state, now)
-            if choice and self._sender.can_reach(choice.server, now):
+            if choice and self._sender.connections.can_reach(
+                choice.server, now
+            ):
                 return choice, None
         helper = self._relay.choose_helper(state, now)
         if helper is not None or not has_connections:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -4,12 +4,9 @@
 
 import asyncio
 import math
-from functools import partial
 
 from radishmux.clock import Clock
 from radishmux.config.routing import HostRoute
-from radishmux.dispatch.http_client import ServerConnectionPool
-from radishmux.dispatch.response_memory import ResponseMemory
 from radishmux.dispatch.server_response import (
     NoResponse,
     NotSent,
@@ -19,6 +16,7 @@
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.send_permits import SendPermits
+from radishmux.gateway.server_connections import ServerConnections
 from radishmux.http.incoming import CALLER_LEFT
 from radishmux.steer.cold_pace import ColdRateLimiter
 from radishmux.steer.placement import Choice, Placement, object_key
@@ -29,10 +27,6 @@
 from radishmux.telemetry.metrics import Metrics
 from radishmux.verdict import Verdict
 
-# Longest time until a reachable server has accepted a connection: a round trip
-# between regions, and the delay of a busy link.
-PROBE_TIMEOUT_S = 0.3
-
 
 class Attempt:
     """One attempt to send a request to a server.
@@ -108,38 +102,31 @@
         self._rollouts = rollouts
         self._dialect = dialect
         self._clock = clock
-        self._memory = ResponseMemory()
-        self._connections: dict[str, ServerConnectionPool] = {}
         self._last_response_at = clock.now()
         # Servers whose connections have failed since one was opened: the end of
         # the cold time before that, and the one that was assumed then.
         self._suspects: dict[str, tuple[Server, float, float]] = {}
+        self._connections = ServerConnections(
+            contact, self._suspects.clear, clock, metrics
+        )
 
     def response_age_s(self, now: float) -> float:
         """Returns the time since a server last responded, or the start."""
         return now - self._last_response_at
 
-    def can_reach(self, server: Server, now: float) -> bool:
-        """Whether a request to a server has a connection, or may get one."""
-        if not self._contact.is_lost:
-            return True
-        connections = self._connections.get(server.name)
-        return (
-            connections is not None
-            and connections.has_idle
-            and self._contact.trusts_open_connections(now)
-        )
-
-    async def probe(self, server: Server) -> bool:
-        """Returns whether a server accepts a connection."""
-        return await self._pool(server).probe(PROBE_TIMEOUT_S)
+    @property
+    def connections(self) -> ServerConnections:
+        """The connections to all servers."""
+        return self._connections
 
-    def undo_connection_failures(self) -> None:
+    def on_contact_lost(self) -> None:
         """Forgets the failures that the loss of all servers explains.
 
         They say nothing about the servers, which are used again at the end of
-        the partition, and before it over open connections.
+        the partition, and before it over open connections. Requests that wait
+        for a connection are given another way.
         """
+        self._connections.give_up_connecting()
         for server, cold_until, assumed in self._suspects.values():
             self._placement.state_of(server).undo_connection_failures()
             if server.cold_until == assumed:
@@ -160,10 +147,7 @@
         Also drops the connections and observed states of removed servers.
         """
         names = {server.name for server in self._fleet.servers.all()}
-        for name in self._connections.keys() - names:
-            self._connections.pop(name).close()
-        for connections in self._connections.values():
-            connections.close_expired()
+        self._connections.prune(names)
         self._placement.retain_only(names)
         self._permits.retain_only(names)
 
@@ -241,7 +225,7 @@
         self, attempt: Attempt, server: Server
     ) -> ServerResponse | NoResponse:
         call = attempt.call
-        connections = self._pool(server)
+        connections = self._connections.pool(server)
         one_way_s = self._placement.round_trip_s(server) / 2
         remaining_s = attempt.deadline - self._clock.now() - one_way_s
         payload = self._dialect.encode_request(
@@ -256,26 +240,6 @@
             lambda: self._obstacle(call, server),
         )
 
-    def _pool(self, server: Server) -> ServerConnectionPool:
-        connections = self._connections.get(server.name)
-        if connections is None:
-            connections = ServerConnectionPool(
-                server.entry.address,
-                self._clock,
-                self._memory,
-                on_connect=partial(self._on_connect, server.name),
-            )
-            self._connections[server.name] = connections
-        return connections
-
-    def _on_connect(self, server: str, error: str) -> None:
-        self._metrics.count("gateway_connects_total", outcome=error or "open")
-        if error:
-            self._contact.record_refused(server)
-        else:
-            self._contact.record_opened(self._clock.now())
-            self._suspects.clear()
-
     def _obstacle(self, call: Call, server: Server) -> str:
         """Returns why a request must not be sent now; empty if it may be."""
         if call.has_caller_left():
@@ -450,6 +414,5 @@
 
     async def close(self) -> None:
         """Closes all idle connections."""
-        for connections in self._connections.values():
-            connections.close()
+        self._connections.close()
         await asyncio.sleep(0)
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -107,9 +107,9 @@
     def _may_use_reachable(
         self, state: RequestState, server: Server, now: float
     ) -> bool:
-        return self._sender.can_reach(server, now) and self._may_use(
-            state, server, now
-        )
+        return self._sender.connections.can_reach(
+            server, now
+        ) and self._may_use(state, server, now)
 
     def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
         """Whether a request may go to a server that is not paused."""
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -17,12 +17,30 @@
 from radishmux.clock import SystemClock
 from radishmux.dispatch.http_client import ServerConnectionPool
 from radishmux.dispatch.response_memory import ResponseMemory
-from radishmux.dispatch.server_response import NoResponse, ServerResponse
+from radishmux.dispatch.server_response import (
+    NoResponse,
+    NotSent,
+    ServerResponse,
+)
 from radishmux.verdict import Verdict
 
 REQUEST = [b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"]
 
 
+@contextlib.contextmanager
+def full_listener():
+    """Yields the address of a listener at which connections hang."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(
+            socket.create_server(("127.0.0.1", 0), backlog=0)
+        )
+        for _ in range(3):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        yield "{}:{}".format(*listener.getsockname())
+
+
 class ScriptedServer:
     """Answers each request on any connection with the next script.
 
@@ -363,3 +381,19 @@
     assert len(responses[0].body) == 200_000
     assert responses[1].reason == "memory_full"
     assert memory.used_bytes == 0
+
+
+# A request waited for a connection that no server could accept any more.
+async def test_waits_for_a_connection_can_be_given_up():
+    clock = SystemClock()
+    with full_listener() as address:
+        pool = ServerConnectionPool(address, clock, connect_timeout_s=60.0)
+        request = asyncio.create_task(pool.send(REQUEST, clock.now() + 60.0))
+        await asyncio.sleep(0.05)
+        assert not request.done()
+        pool.give_up_connecting(0.1)
+        async with asyncio.timeout(1.0):
+            outcome = await request
+        assert isinstance(outcome, NotSent)
+        assert outcome.connection_failed
+        assert pool.open_count == 0
