--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -377,8 +377,14 @@
         """Lets a peer make an attempt; counts as one if it was sent."""
         routes = self._fleet.routes
         version = routes.configuration.version if routes else 0
+        # What this instance has been told binds the helper, too.
+        state.unavailable_servers.update(
+            self._sender.refusing_servers(state.service, self._clock.now())
+        )
         outcome, server = await self._relay.send(state, helper, version)
         state.tried_servers.remove(placeholder)
+        if isinstance(outcome, ServerResponse):
+            self._sender.learn_from_relayed(server, outcome)
         if not isinstance(outcome, NotSent):
             state.tried_servers.append(server or placeholder)
             return outcome
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -133,6 +133,36 @@
                 server.cold_until = cold_until
         self._suspects.clear()
 
+    def learn_from_relayed(self, name: str, response: ServerResponse) -> None:
+        """Records what a response that came through a peer says of its server.
+
+        Args:
+            name: Name of the server.
+            response: Its response.
+        """
+        server = self._fleet.servers.get(name)
+        if server is None:
+            return
+        report = self._dialect.read_report(response)
+        if report.is_leaving and not report.misdirected:
+            self._record_leaving(server)
+        self._record_limit(server, report)
+
+    def refusing_servers(self, service: str, now: float) -> list[str]:
+        """Returns the servers that have said that they take nothing now.
+
+        They are about to leave, or asked this instance for rest.
+        """
+        return [
+            server.name
+            for server in self._fleet.servers.all()
+            if server.entry.service == service
+            and (
+                server.is_leaving
+                or self._placement.state_of(server).rest_until > now
+            )
+        ]
+
     def may_send(self, server: Server, now: float) -> bool:
         """Whether a server may get a request now; cold ones have a limit."""
         return not server.is_cold(now) or self._cold_limiter.allows(server, now)
--- a/tests/gateway/test_cut_instances.py
+++ b/tests/gateway/test_cut_instances.py
@@ -167,6 +167,25 @@
     assert '"relayed"' not in far
 
 
+# DRAIN: an instance did not learn from responses that a peer passed to it, and
+# sent requests to a leaving server after the cut (soak, seed 2012).
+async def test_leaving_server_is_known_through_a_helper(tmp_path):
+    async with run_cut_fleet(tmp_path) as cut_fleet:
+        await start_all(cut_fleet)
+        cut_fleet.set_links(ONE, Link.CUT_RESET)
+        await cut_fleet.load(BUSY_PER_S, 1.0)
+        leaving = cut_fleet.fleet.servers["i-0"]
+        await leaving.control(leaving=True)
+        await cut_fleet.load(BUSY_PER_S, 1.0)
+        cut_fleet.set_links(ONE, Link.SOUND)
+        calls = await cut_fleet.load(BUSY_PER_S, 1.0)
+        arrived = {one["id"] for one in (await leaving.show())["arrived"]}
+    assert "backend server i-0 is leaving" in (
+        cut_fleet.fleet.gateways[0].log_text()
+    )
+    assert not arrived & {one.id for one in calls if one.gateway in ONE}
+
+
 # Nobody but the other instances may pass requests on, past keys and rates.
 async def test_requests_of_outsiders_are_not_relayed(tmp_path):
     async with run_cut_fleet(tmp_path) as cut_fleet:
