Log messages between instances that cannot be read on the way of a relay

What callers saw: nothing. Read in the code: a relayed request or its reply that could not be decoded was answered 400, or counted as 'may have run', without a line that says why.

Change: a warning with the peer and the error.

Result: the tests of outsiders and of silent cuts in test_cut_instances pass.

--- a/src/radishmux/gateway/relay_service.py
+++ b/src/radishmux/gateway/relay_service.py
@@ -83,7 +83,10 @@
         try:
             envelope = messages.decode(request.body)
             message = messages.unwrap(envelope.body)
-        except Exception:  # The codec raises many types.
+        except Exception as error:  # The codec raises many types.
+            logger.warning(
+                "request of {} not relayed: {!r}", request.remote_host, error
+            )
             return Response(400, [], closes=True)
         if not isinstance(message, messages.RelayRequest):
             return Response(400, [], closes=True)
--- a/src/radishmux/gateway/request_relay.py
+++ b/src/radishmux/gateway/request_relay.py
@@ -5,6 +5,8 @@
 import random
 from collections import Counter
 
+from loguru import logger
+
 from radishmux.clock import Clock
 from radishmux.dispatch.http_client import ServerConnectionPool
 from radishmux.dispatch.response_memory import ResponseMemory
@@ -159,8 +161,8 @@
             try:
                 envelope = messages.decode(reply.body)
                 message = messages.unwrap(envelope.body)
-            except Exception:  # The codec raises many types.
-                message = None
+            except Exception as error:  # The codec raises many types.
+                logger.warning("reply of {}: {!r}", helper.instance, error)
         if not isinstance(message, messages.RelayOutcome):
             return NoResponse("relay:unreadable", Verdict.MAY_HAVE_RUN), ""
         outcome = relay_codec.decode_outcome(message)
