Put the sender's property before its methods

No behaviour changes: tests/gateway/test_cut_instances.py and test_waits_of_departed_callers.py pass before and after.

--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -110,15 +110,15 @@
             contact, self._suspects.clear, clock, metrics
         )
 
-    def response_age_s(self, now: float) -> float:
-        """Returns the time since a server last responded, or the start."""
-        return now - self._last_response_at
-
     @property
     def connections(self) -> ServerConnections:
         """The connections to all servers."""
         return self._connections
 
+    def response_age_s(self, now: float) -> float:
+        """Returns the time since a server last responded, or the start."""
+        return now - self._last_response_at
+
     def on_contact_lost(self) -> None:
         """Forgets the failures that the loss of all servers explains.
 
