Log a digest of requests whose connection to a server broke

What callers saw: nothing changes for them. A request under which servers end comes again with another id, and the logs of the incident could not tell it from others: a line names the id, the route and the servers, not what was asked for. The line of a request that lost a connection before an answer began now names these servers (broken) and a digest of customer, service, method, host, path, query and body, so that equal requests can be counted. The digest is the one that radishmuxd computes for its crash marks; it moves to a module that both daemons reach, which also ends the import cycle of crashes and exchange.

--- a/src/radishmux/dispatch/cell_runtime.py
+++ b/src/radishmux/dispatch/cell_runtime.py
@@ -185,7 +185,7 @@
         If this clears the mark, the peers are notified in the background.
 
         Args:
-            digest: From `crashes.request_digest`.
+            digest: From `request_digest`.
             is_harmless: Whether the attempt ended without a crash.
         """
         if self._marks.end_exclusive_run(digest, is_harmless):
--- a/src/radishmux/dispatch/crashes.py
+++ b/src/radishmux/dispatch/crashes.py
@@ -9,10 +9,6 @@
 import enum
 from collections import OrderedDict
 
-import xxhash
-
-from radishmux.dispatch.exchange import Exchange
-
 # Servers that one request may crash before it is refused.
 MAX_MARKS = 2
 # Lifetime of a mark that no exclusive run clears. Two marks last longer, since
@@ -22,25 +18,6 @@
 MAX_RECORDS = 10_000
 
 
-def request_digest(exchange: Exchange) -> str:
-    """Returns the digest of customer, service, method, path and body.
-
-    A streamed body counts with its length and the part that is in memory.
-    """
-    digest = xxhash.xxh3_128()
-    for text in (
-        exchange.customer,
-        exchange.service,
-        exchange.method,
-        exchange.target,
-        str(exchange.body.length),
-    ):
-        digest.update(text.encode("utf-8", "surrogateescape"))
-        digest.update(b"\0")
-    digest.update(exchange.body.prefix)
-    return digest.hexdigest()
-
-
 class CrashDecision(enum.Enum):
     """How a request may be dispatched, given its crash marks.
 
--- a/src/radishmux/dispatch/exchange.py
+++ b/src/radishmux/dispatch/exchange.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from radishmux.config.model import Route
+from radishmux.dispatch.request_digest import request_digest
 from radishmux.verdict import Verdict
 
 # Largest part of a body that is kept in memory. The limit per direction is
@@ -178,9 +179,14 @@
         It identifies the same request when it is sent again, for crash marks.
         """
         if not self._digest:
-            from radishmux.dispatch.crashes import request_digest
-
-            self._digest = request_digest(self)
+            self._digest = request_digest(
+                self.customer,
+                self.service,
+                self.method,
+                self.target,
+                self.body.prefix,
+                self.body.length,
+            )
         return self._digest
 
 
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -152,6 +152,9 @@
                 }
                 for choice in state.choices
             ]
+            if state.broken_servers:
+                line["broken"] = state.broken_servers
+                line["digest"] = state.digest
             if state.relayed_via:
                 line["relayed_via"] = state.relayed_via
             if state.failure_reason:
--- a/src/radishmux/gateway/relay_service.py
+++ b/src/radishmux/gateway/relay_service.py
@@ -218,7 +218,14 @@
                     deadline=state.deadline,
                 )
             )
-            if not isinstance(outcome, NotSent) or self._contact.is_lost:
+            if not isinstance(outcome, NotSent):
+                if (
+                    isinstance(outcome, NoResponse)
+                    and outcome.connection_failed
+                ):
+                    state.broken_servers.append(server)
+                break
+            if self._contact.is_lost:
                 break
             state.unavailable_servers.add(server)
         return outcome, server
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -407,6 +407,8 @@
             state.unavailable_servers.add(server)
             if state.tried_servers:
                 state.unused_retries += 1
+        elif isinstance(outcome, NoResponse) and outcome.connection_failed:
+            state.broken_servers.append(attempt.choice.server.name)
         return outcome
 
     def _handle_outcome(
--- a/src/radishmux/gateway/request_state.py
+++ b/src/radishmux/gateway/request_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from radishmux.config.routing import CustomerPolicy, HostRoute
+from radishmux.dispatch.request_digest import request_digest
 from radishmux.dispatch.server_response import ServerResponse
 from radishmux.gateway.call import Call
 from radishmux.steer.placement import Choice
@@ -22,11 +23,14 @@
         service: Service that was chosen among the route's destinations.
         regions: Regions that may serve it; empty means all.
         deadline: Monotonic time until which an answer is useful.
+        digest: The same for equal requests of the customer to the service.
         tried_servers: Names of the servers that it was sent to, in order. An
             attempt through a helper stands there until its server is known.
         unavailable_servers: Names of the servers that must not get it now.
         failed_helpers: Names of the peers that sent it to no server.
         relayed_via: Names of the peers that it was passed to, in order.
+        broken_servers: Names of the servers whose connection broke before a
+            response began.
         choices: The placement of each attempt, with what was expected of it.
         ended_attempts: Number of attempts that have ended.
         unused_retries: Retries that the budget allowed and that were not sent.
@@ -36,10 +40,12 @@
     """
 
     __slots__ = (
+        "broken_servers",
         "call",
         "choices",
         "customer",
         "deadline",
+        "digest",
         "ended_attempts",
         "failed_helpers",
         "failure_reason",
@@ -72,6 +78,15 @@
             both = homes & self.regions if self.regions else homes
             self.regions = both or NO_REGION
         self.deadline = deadline
+        self.digest = request_digest(
+            customer.name if customer else "",
+            service,
+            call.method,
+            call.host + call.target,
+            call.body,
+            len(call.body),
+        )
+        self.broken_servers: list[str] = []
         self.tried_servers: list[str] = []
         self.unavailable_servers: set[str] = set()
         self.failed_helpers: set[str] = set()
