--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -147,10 +147,13 @@
             }
         )
 
-    async def _control(self, request: web.Request) -> web.Response:
+    def behave(self, **change: Any) -> None:
+        """Changes fields of its behaviour."""
         known = msgspec.to_builtins(self._behaviour)
-        change = await request.json()
         self._behaviour = msgspec.convert(known | change, Behaviour)
+
+    async def _control(self, request: web.Request) -> web.Response:
+        self.behave(**await request.json())
         return _json(msgspec.to_builtins(self._behaviour))
 
 
