Keep withheld requests in the store, and ask less of each request

Cause: instances tell each other of crashes, so that a request would have been forgotten when all of them died at once. The search for suspected requests went through all records for each report, and each server that a request might go to was compared with them. The answer to the first broken connection waited for the check of the server, which decides nothing for it.

Records are kept in the order of their changes, with an index of the suspected ones, which are evicted last. Only marked requests are compared with servers. Only the second crash of a request waits for the check.

Evidence: test_crashing_request_stays_withheld_when_all_die_at_once.

--- a/src/radishmux/dispatch/crash_history.py
+++ b/src/radishmux/dispatch/crash_history.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -137,7 +138,10 @@
     """Marks of requests, by digest; bounded, the oldest records go first."""
 
     def __init__(self) -> None:
+        # In the order of their latest changes, and those of them that run on
+        # trial or not at all.
         self._records: OrderedDict[str, CrashRecord] = OrderedDict()
+        self._suspected: OrderedDict[str, CrashRecord] = OrderedDict()
         # Time at which each request was last completed, by digest and version.
         self._completed: OrderedDict[tuple[str, str], float] = OrderedDict()
 
@@ -194,7 +198,7 @@
         for mark in record.marks.values():
             mark.is_void |= mark.version == version
         record.cleared_versions.add(version)
-        record.changed_at = now
+        self._record_change(record, now)
         return True
 
     def merge(
@@ -206,6 +210,9 @@
         now: float,
     ) -> None:
         """Merges the record of another instance into the own one."""
+        marks = list(marks)
+        if not marks:
+            return
         record = self._record(digest, subject, now)
         for mark in marks:
             mark.is_void |= self._is_refuted(digest, mark)
@@ -213,27 +220,20 @@
         cleared = set(cleared_versions) - record.cleared_versions
         if cleared:
             record.cleared_versions |= cleared
-            record.changed_at = now
-        if not record.marks:
-            del self._records[digest]
+            self._record_change(record, now)
 
     def recent(self, max_age_s: float, now: float) -> list[CrashRecord]:
         """Returns the records that have changed lately, the latest first."""
-        changed = [
-            record
-            for record in self._records.values()
-            if now - record.changed_at <= max_age_s
-        ]
-        return sorted(changed, key=lambda record: -record.changed_at)
+        return list(
+            itertools.takewhile(
+                lambda record: now - record.changed_at <= max_age_s,
+                reversed(self._records.values()),
+            )
+        )
 
     def suspected(self) -> list[CrashRecord]:
         """Returns the records of requests that run on trial or not at all."""
-        return [
-            record
-            for record in self._records.values()
-            if sum(not mark.is_void for mark in record.marks.values())
-            >= MAX_FREE_MARKS
-        ]
+        return list(self._suspected.values())
 
     def expire(self, now: float) -> None:
         """Removes marks at the end of their lifetime."""
@@ -245,9 +245,10 @@
             }
             is_over = all(mark.is_void for mark in kept.values())
             if not kept or (is_over and now - record.changed_at > VOID_KEPT_S):
-                del self._records[digest]
-            else:
+                self._remove(digest)
+            elif len(kept) < len(record.marks):
                 record.marks = kept
+                self._index(record)
 
     def _is_refuted(self, digest: str, mark: CrashMark) -> bool:
         """Whether a run was completed here near a crash."""
@@ -258,13 +259,43 @@
         record = self._records.get(digest)
         if record is None:
             while len(self._records) >= MAX_RECORDS:
-                self._records.popitem(last=False)
+                self._evict()
             record = CrashRecord(digest, subject, now)
             self._records[digest] = record
         return record
 
-    @staticmethod
-    def _merge_mark(record: CrashRecord, mark: CrashMark, now: float) -> bool:
+    def _evict(self) -> None:
+        """Removes the record that has not changed for longest.
+
+        Suspected requests stay as long as there are others: somebody may send
+        many requests to servers that are about to crash.
+        """
+        unsuspected = (
+            one for one in self._records if one not in self._suspected
+        )
+        self._remove(next(unsuspected, next(iter(self._records))))
+
+    def _remove(self, digest: str) -> None:
+        del self._records[digest]
+        self._suspected.pop(digest, None)
+
+    def _record_change(self, record: CrashRecord, now: float) -> None:
+        record.changed_at = now
+        self._records.move_to_end(record.digest)
+        self._index(record)
+
+    def _index(self, record: CrashRecord) -> None:
+        """Adds a record to the suspected ones, or removes it from them."""
+        counting = sum(not mark.is_void for mark in record.marks.values())
+        if counting >= MAX_FREE_MARKS:
+            self._suspected[record.digest] = record
+            self._suspected.move_to_end(record.digest)
+        else:
+            self._suspected.pop(record.digest, None)
+
+    def _merge_mark(
+        self, record: CrashRecord, mark: CrashMark, now: float
+    ) -> bool:
         """Adds a mark, or what is new in it; returns whether it is new.
 
         A mark that was passed on seems later by the time that this took, so
@@ -275,12 +306,12 @@
             if len(record.marks) >= MAX_MARKS:
                 return False
             record.marks[mark.server] = mark
-            record.changed_at = now
+            self._record_change(record, now)
             return not mark.is_void
         known.at = min(known.at, mark.at)
         # The latest run that it crashed tells most.
         known.run_s = min(known.run_s, mark.run_s)
         if mark.is_void and not known.is_void:
             known.is_void = True
-            record.changed_at = now
+            self._record_change(record, now)
         return False
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -14,6 +14,7 @@
 from radishmux.config.routing import CallerLimits
 from radishmux.dispatch.crash_history import CrashHistory
 from radishmux.gateway.contact_monitor import ContactMonitor
+from radishmux.gateway.crash_archive import CrashArchive
 from radishmux.gateway.crash_detector import CrashDetector
 from radishmux.gateway.crash_guard import CrashGuard
 from radishmux.gateway.decision_log import DecisionLog
@@ -221,9 +222,11 @@
             CrashHistory(),
             self._peers,
             bus,
+            CrashArchive(self._store, keys.crashes_key, self._clock),
             self._metrics,
             self._clock,
         )
+        self._fleet.add_listener(self._crash_guard.on_event)
         gossip_state = GossipState(
             self._record,
             self._peers,
--- a/src/radishmux/gateway/crash_guard.py
+++ b/src/radishmux/gateway/crash_guard.py
@@ -14,6 +14,8 @@
     CrashVerdict,
 )
 from radishmux.gateway._crash_codec import encode_record, merge_record
+from radishmux.gateway.crash_archive import CrashArchive
+from radishmux.gateway.events import CrashesPut, Event
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
 from radishmux.peer import messages
@@ -68,6 +70,7 @@
         history: Marks of the requests.
         peers: The other instances.
         bus: Connections to the peers.
+        archive: Keeps records in the store.
         metrics: Counts the crashes.
         clock: Monotonic time.
 
@@ -82,6 +85,7 @@
         history: CrashHistory,
         peers: Peers,
         bus: PeerBus,
+        archive: CrashArchive,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -89,6 +93,7 @@
         self._history = history
         self._peers = peers
         self._bus = bus
+        self._archive = archive
         self._metrics = metrics
         self._clock = clock
         self.announce: Announce = _announce_to_none
@@ -199,6 +204,9 @@
         self._metrics.count("gateway_crash_marks_total", service=entry.service)
         verdict = self._history.decide(digest, entry.version, now)
         self._log(digest, verdict.name.lower(), server=entry.name)
+        record = self._history.get(digest)
+        if record is not None and verdict is CrashVerdict.WITHHELD:
+            self._archive.keep(record)
         is_suspect = verdict is not CrashVerdict.CAREFUL
         self._announce(is_suspect)
         if is_suspect:
@@ -262,6 +270,13 @@
         for record in records:
             merge_record(self._history, record, sender, now)
 
+    def on_event(self, event: Event, now: float) -> None:
+        """Merges a record that an instance has kept in the store."""
+        if isinstance(event, CrashesPut):
+            marks = self._archive.decode(event.crashes)
+            subject = event.crashes.subject
+            self._history.merge(event.digest, subject, marks, (), now)
+
     async def _ask_arbiter(
         self, digest: str, version: str, duration_s: float
     ) -> bool:
--- a/src/radishmux/gateway/events.py
+++ b/src/radishmux/gateway/events.py
@@ -84,6 +84,46 @@
     record: InstanceRecord | None
 
 
+class StoredMark(msgspec.Struct, frozen=True, kw_only=True):
+    """A server that crashed while it had a request.
+
+    Attributes:
+        server: Name and start of the server.
+        version: Version of the server's software.
+        unix_ms: Unix time of the crash in milliseconds.
+        run_ms: Time from the sending of the request until the crash.
+    """
+
+    server: str
+    version: str
+    unix_ms: int
+    run_ms: int
+
+
+class StoredCrashes(msgspec.Struct, frozen=True, kw_only=True):
+    """What an instance has recorded of a request that crashes servers.
+
+    Attributes:
+        subject: Service, customer and route, for the logs.
+        marks: The crashes.
+    """
+
+    subject: str
+    marks: list[StoredMark]
+
+
+class CrashesPut(msgspec.Struct, frozen=True):
+    """An instance has recorded a request that crashes servers.
+
+    Attributes:
+        digest: From `request_digest`.
+        crashes: The record.
+    """
+
+    digest: str
+    crashes: StoredCrashes
+
+
 class StoreListed(msgspec.Struct, frozen=True):
     """All keys of the store have been listed once."""
 
@@ -95,5 +135,6 @@
     | RolloutPut
     | StatusPut
     | InstancePut
+    | CrashesPut
     | StoreListed
 )
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -11,6 +11,7 @@
 from radishmux.config.routing import RoutingConfiguration
 from radishmux.gateway.events import (
     ConfigurationPut,
+    CrashesPut,
     EvacuationPut,
     Event,
     InstancePut,
@@ -321,6 +322,10 @@
         else:
             self._instances[event.name] = event.record
 
+    @_handlers.register(CrashesPut)
+    def _on_crashes(self, event: CrashesPut, now: float) -> None:
+        """Does nothing; the crash guard uses the record."""
+
     def _mark_cold(self, domain: str, now: float) -> None:
         """Treats a domain's servers as cold after the end of its evacuation.
 
--- a/src/radishmux/gateway/guarded_sender.py
+++ b/src/radishmux/gateway/guarded_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from radishmux.clock import Clock
 from radishmux.dispatch.crash_history import CrashVerdict
@@ -38,6 +39,8 @@
         self._detector = detector
         self._clock = clock
         self._checks: set[asyncio.Task[None]] = set()
+        # Number of checks in progress by digest.
+        self._checking: Counter[str] = Counter()
 
     async def send(self, attempt: Attempt) -> ServerResponse | NoResponse:
         """Sends a request once.
@@ -49,6 +52,8 @@
         await self._guard.wait_informed()
         version = attempt.choice.server.entry.version
         verdict = self._guard.decide(attempt.digest, version)
+        if verdict is CrashVerdict.WITHHELD:
+            return NotSent(CRASHES)
         attempt.is_suspected = verdict is not CrashVerdict.FREE
         on_trial = verdict is CrashVerdict.TRIAL
         if on_trial:
@@ -64,16 +69,26 @@
             if isinstance(outcome, ServerResponse):
                 self._guard.record_completed(attempt.digest, version)
             elif outcome.connection_failed and not isinstance(outcome, NotSent):
+                self._checking[attempt.digest] += 1
                 # Goes on if the caller leaves or its deadline passes.
                 check = asyncio.create_task(self._check(attempt, sent_at))
                 self._checks.add(check)
                 check.add_done_callback(self._checks.discard)
-                await asyncio.shield(check)
+                if self._is_suspicious(attempt.digest):
+                    await asyncio.shield(check)
         finally:
             if on_trial:
                 self._guard.end_trial(attempt.digest, version)
         return outcome
 
+    def _is_suspicious(self, digest: str) -> bool:
+        """Whether the cause of a broken connection decides what comes next.
+
+        The first crash of a request changes nothing for it, so that a retry
+        need not wait.
+        """
+        return self._checking[digest] > 1 or self._guard.is_marked(digest)
+
     def _obstacle(self, attempt: Attempt, on_trial: bool) -> str:
         """Returns why a request must not be sent any more, or an empty string.
 
@@ -91,7 +106,13 @@
         """Marks a request if the server that broke the connection has ended."""
         server = attempt.choice.server
         broken_at = self._clock.now()
-        if await self._detector.has_ended(server, broken_at):
+        try:
+            has_ended = await self._detector.has_ended(server, broken_at)
+        finally:
+            self._checking[attempt.digest] -= 1
+            if not self._checking[attempt.digest]:
+                del self._checking[attempt.digest]
+        if has_ended:
             subject = f"{server.entry.service} {attempt.customer}".rstrip()
             await self._guard.record_crash(
                 attempt.digest,
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -20,6 +20,8 @@
 )
 from radishmux.steer.servers import Server
 
+MayUse = Callable[[RequestState, Server, float], bool]
+
 # Limited servers that a request asks for, one after the other. Each question
 # takes up to a round trip between regions, and a request that is denied several
 # times will hardly get a permit of the next server.
@@ -83,6 +85,8 @@
         )
         rule = self._rollouts.next_rule(state.service, route.name, now)
         may_use = self._may_use_reachable if only_reachable else self._may_use
+        if self._guard.is_marked(state.digest):
+            may_use = self._unless_withheld(may_use)
         choice = self._choose_with_rule(
             rule, state, placement_request, may_use, now
         )
@@ -99,7 +103,7 @@
         rule: VersionRule,
         state: RequestState,
         placement_request: PlacementRequest,
-        may_use: Callable[[RequestState, Server, float], bool],
+        may_use: MayUse,
         now: float,
     ) -> Choice | None:
         return self._placement.choose(
@@ -116,12 +120,25 @@
             server, now
         ) and self._may_use(state, server, now)
 
+    def _unless_withheld(self, may_use: MayUse) -> MayUse:
+        """Returns a condition that also leaves out servers of some versions.
+
+        These are the ones that crash under the request.
+        """
+
+        def may_use_unless_withheld(
+            state: RequestState, server: Server, now: float
+        ) -> bool:
+            verdict = self._guard.decide(state.digest, server.entry.version)
+            return verdict is not CrashVerdict.WITHHELD and may_use(
+                state, server, now
+            )
+
+        return may_use_unless_withheld
+
     def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
         """Whether a request may go to a server that is not paused."""
         denied = state.unavailable_servers
-        version = server.entry.version
-        if self._guard.decide(state.digest, version) is CrashVerdict.WITHHELD:
-            return False
         if server.name in state.tried_servers or server.name in denied:
             return False
         if len(denied) >= MAX_DENIALS and self._sender.needs_permit(server):
--- a/src/radishmux/platform/keys.py
+++ b/src/radishmux/platform/keys.py
@@ -9,12 +9,14 @@
 
 from radishmux.gateway.events import (
     ConfigurationPut,
+    CrashesPut,
     EvacuationPut,
     Event,
     InstancePut,
     RolloutPut,
     ServerPut,
     StatusPut,
+    StoredCrashes,
 )
 from radishmux.membership.record import InstanceRecord
 from radishmux.outcome import Unavailable
@@ -26,6 +28,8 @@
 
 # Prefix of the keys at which instances store their own records.
 INSTANCES_PREFIX = "radishmux/instances/"
+# Prefix of the keys at which they store the requests that crash servers.
+CRASHES_PREFIX = "radishmux/crashes/"
 # The keys that an instance watches share no other prefix, so it watches the
 # whole store.
 WATCHED_PREFIX = ""
@@ -54,6 +58,11 @@
     return INSTANCES_PREFIX + instance
 
 
+def crashes_key(digest: str) -> str:
+    """Returns the key of the record of a request that crashes servers."""
+    return CRASHES_PREFIX + digest
+
+
 def status_key(service: str) -> str:
     """Returns the key of the status of a service's rollout."""
     return documents.STATUS_PREFIX + service
@@ -133,3 +142,16 @@
         _log_problem(change, Unavailable(str(error)))
         return InstancePut(name, None)
     return InstancePut(name, record)
+
+
+@_decoders.register(CRASHES_PREFIX)
+def _decode_crashes_change(digest: str, change: KeyChange) -> Event | None:
+    if change.value is None:
+        # The end of the lease is no news of the request.
+        return None
+    try:
+        crashes = msgspec.json.decode(change.value, type=StoredCrashes)
+    except (msgspec.DecodeError, RecursionError) as error:
+        _log_problem(change, Unavailable(str(error)))
+        return None
+    return CrashesPut(digest, crashes)
--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -31,6 +31,9 @@
 REPEATS = 2
 # The users count from this long after the third crash of a request.
 CONTACT_S = 4.0
+# Instances that start together read each other's records in their second watch
+# of the store, and report twice a second.
+MEETING_S = 2.0
 _CRASHING = "/crash/"
 
 
@@ -289,7 +292,7 @@
             for name, domain in gateways.items():
                 fleet.create(name, domain, **settings)
             await asyncio.gather(*(one.start() for one in fleet.gateways))
-            await crashing_fleet.send_others(0.5)
+            await crashing_fleet.send_others(MEETING_S)
             crashing_fleet.answers.clear()
             try:
                 yield crashing_fleet
--- a/tests/gateway/parts.py
+++ b/tests/gateway/parts.py
@@ -45,6 +45,16 @@
         return lambda handler: handler
 
 
+class Archive:
+    """Collects the records."""
+
+    def __init__(self):
+        self.kept = []
+
+    def keep(self, record):
+        self.kept.append(record.digest)
+
+
 class Detector:
     """Finds that the servers in `ended` have ended."""
 
@@ -55,17 +65,18 @@
         return server.name in self.ended
 
 
-def crash_guard(clock, own=OWN, bus=None, peers=None):
-    """Returns a guard that has heard of its peers' records."""
+def crash_guard(clock, own=OWN, bus=None, peers=None, is_informed=True):
     guard = CrashGuard(
         own,
         CrashHistory(),
         peers or Peers(own),
         bus or NoBus(),
+        Archive(),
         Metrics(),
         clock,
     )
-    guard.apply_records((), "peer")
+    if is_informed:
+        guard.apply_records((), "peer")
     return guard
 
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -65,6 +65,22 @@
     assert full_mesh_max == 2 or crashed_before <= MAX_CRASHED
 
 
+# BUDGET: the store keeps what a request did when no instance is left to tell.
+async def test_crashing_request_stays_withheld_when_all_die_at_once(tmp_path):
+    async with run_crashing_fleet(tmp_path) as fleet:
+        await fleet.send_crashing(SAFE, 3.0)
+        crashed_before = len(fleet.crashed(SAFE))
+        gateways = fleet.fleet.gateways
+        for gateway in gateways:
+            gateway.process.kill()
+        await asyncio.gather(*(one.process.wait() for one in gateways))
+        await asyncio.gather(*(one.start() for one in gateways))
+        answers = await fleet.send_crashing(SAFE, 5.0)
+    assert crashed_before <= MAX_CRASHED
+    assert len(fleet.crashed(SAFE)) == crashed_before
+    assert {status for status, _ in answers} == {503}
+
+
 # BUDGET: each crashing request of a customer is recognized on its own, and a
 # request of another customer is not touched.
 async def test_several_crashing_requests_end_three_servers_each(tmp_path):
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -68,10 +68,14 @@
         self.clock = network.loop
         self.is_leaving = False
         self.is_serving = False
+        self.started_at = self.clock.now()
         self.peers = Peers(record)
         self.rates = FleetRates(0.1, 20.0, record.instance)
         self.bus = VirtualBus(network, self)
         holders = TokenHolders(record.instance)
+        self.crash_guard = parts.crash_guard(
+            self.clock, record, self.bus, self.peers, is_informed=False
+        )
         gossip_state = GossipState(
             record,
             self.peers,
@@ -81,7 +85,7 @@
             lambda: self.is_leaving,
             self.clock,
             lambda: False,
-            parts.crash_guard(self.clock, record, self.bus, self.peers),
+            self.crash_guard,
         )
         self.changes = HolderChanges(
             record,
@@ -105,6 +109,7 @@
             self.clock,
             frozenset("abc"),
         )
+        self.crash_guard.announce = self.reports.announce_crash
         self.rate_limiter = FleetRateLimiter(
             self.rates,
             holders,
@@ -139,6 +144,9 @@
             await asyncio.sleep(LIST_S)
         self.rates.set_customers(self.customers, self.clock.now())
         self.read_records()
+        self.reports.join()
+        if not self.peers.records:
+            self.crash_guard.set_alone()
         self.is_serving = True
         self.network.put_record(self.record)
 
