--- a/src/radishmux/dispatch/crash_history.py
+++ b/src/radishmux/dispatch/crash_history.py
@@ -115,23 +115,36 @@
         ]
 
     def withheld_until(self, version: str) -> float:
-        """Returns the end of the time without runs; -inf if there is none.
+        """Returns the end of the time without runs; -inf if there is none."""
+        crashes, last_at = self._crashes_in_turn(version)
+        if crashes < MAX_CRASHES:
+            return -math.inf
+        factor = WITHHOLD_FACTOR ** (crashes - MAX_CRASHES)
+        return last_at + min(MAX_WITHHOLD_S, FIRST_WITHHOLD_S * factor)
+
+    def trial_gap_s(self, version: str) -> float:
+        """Returns the shortest time between two runs on trial.
+
+        A run may be turned away before it shows anything.
+        """
+        crashes, _ = self._crashes_in_turn(version)
+        return FIRST_WITHHOLD_S if crashes >= MAX_CRASHES else 0.0
+
+    def _crashes_in_turn(self, version: str) -> tuple[int, float]:
+        """Returns how many servers crashed one after the other, and when last.
 
-        A version that has not crashed under the request yet gets a trial.
+        It is 0 for a version of which none has crashed, which gets a trial.
         """
         marks = self.marks_for(version)
-        if all(mark.version != version for mark in marks):
-            return -math.inf
         crashes = 0
         last_at = -math.inf
+        if all(mark.version != version for mark in marks):
+            return crashes, last_at
         for mark in sorted(marks, key=lambda mark: mark.at):
             if mark.at - mark.run_s >= last_at - ORDER_SLACK_S:
                 crashes += 1
                 last_at = mark.at
-        if crashes < MAX_CRASHES:
-            return -math.inf
-        factor = WITHHOLD_FACTOR ** (crashes - MAX_CRASHES)
-        return last_at + min(MAX_WITHHOLD_S, FIRST_WITHHOLD_S * factor)
+        return crashes, last_at
 
 
 class CrashHistory:
--- a/src/radishmux/gateway/crash_guard.py
+++ b/src/radishmux/gateway/crash_guard.py
@@ -335,8 +335,11 @@
     def _grant(self, digest: str, version: str, duration_s: float) -> bool:
         """Lets a request run on trial, as its arbiter; 0 s end the run."""
         now = self._clock.now()
+        record = self._history.get(digest)
+        gap_s = record.trial_gap_s(version) if record is not None else 0.0
         if duration_s <= 0.0:
-            self._trials.pop(digest, None)
+            if not gap_s:
+                self._trials.pop(digest, None)
             return False
         match self._history.decide(digest, version, now):
             case CrashVerdict.WITHHELD:
@@ -344,7 +347,7 @@
             case CrashVerdict.TRIAL:
                 if self._trials.get(digest, now) > now:
                     return False
-                self._trials[digest] = now + duration_s
+                self._trials[digest] = now + max(duration_s, gap_s)
         return True
 
     def _announce(self, is_suspect: bool) -> None:
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -12,7 +12,7 @@
 import pytest
 
 from radishmux.clock import ManualClock
-from radishmux.dispatch.crash_history import CrashVerdict
+from radishmux.dispatch.crash_history import FIRST_WITHHOLD_S, CrashVerdict
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
 from radishmux.gateway.crash_guard import CRASHES, MAX_TOLD
 from radishmux.gateway.guarded_sender import GuardedSender
@@ -265,6 +265,21 @@
     assert started.suspected_count == 2 * MAX_TOLD
 
 
+async def test_trial_that_was_turned_away_is_not_repeated_at_once():
+    clock = ManualClock(3.0)
+    guard = parts.crash_guard(clock)
+    for n in range(3):
+        server = parts.server(f"i-{n}")
+        await guard.record_crash("d", "s", server, n, n + 0.1)
+    clock.advance(FIRST_WITHHOLD_S + 1.0)
+    assert await guard.acquire_trial("d", "v1", 2.0)
+    guard.end_trial("d", "v1")
+    await asyncio.sleep(0)
+    assert not await guard.acquire_trial("d", "v1", 2.0)
+    clock.advance(FIRST_WITHHOLD_S)
+    assert await guard.acquire_trial("d", "v1", 2.0)
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -74,6 +74,16 @@
         crash(history, f"i-late-{n}", at)
 
 
+# A run on trial that a full server turns away is a send, too.
+def test_trials_after_three_crashes_are_far_apart():
+    history = CrashHistory()
+    for n in range(MAX_CRASHES):
+        assert not n or history.get(D).trial_gap_s("v1") == 0.0
+        crash(history, f"i-{n}", float(n))
+    assert history.get(D).trial_gap_s("v1") == FIRST_WITHHOLD_S
+    assert history.get(D).trial_gap_s("v2") == 0.0
+
+
 # Popular requests are on many servers that crash at the same moment.
 def test_crashes_at_the_same_moment_withhold_nothing():
     history = CrashHistory()
