--- a/soak/checks.py
+++ b/soak/checks.py
@@ -41,6 +41,11 @@
 CUT_FEW, CUT_SHARE = 10, 1 / 50
 RECOVERY_S = 15.0
 RECOVERED_SHARE = 0.25
+# A request that has crashed so many servers is sent to few more.
+MAX_CRASHES = 3
+MAX_SENDS_AFTER_CRASHES = 3
+# Kind of the act of a server that crashed; its subject is the request's path.
+CRASH = "crash"
 # These statuses say that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
 # Kind of the fault that parts a gateway from all servers, and prefix of its
@@ -249,6 +254,33 @@
                 break
 
 
+@CHECKS.register("CRASHES")
+def _crashing_requests(history: History) -> Iterator[Violation]:
+    """The users' BUDGET for requests that crash the servers that run them."""
+    calls = {call.id: call for call in history.calls}
+    crashes = collections.defaultdict(list)
+    for act in history.acts:
+        if act.kind == CRASH:
+            crashes[act.subject].append(act.at)
+    for path, times in crashes.items():
+        if len(times) <= MAX_CRASHES:
+            continue
+        since = sorted(times)[MAX_CRASHES - 1] + CONTACT_S
+        late = [
+            call
+            for arrival in history.arrivals
+            if (call := calls.get(arrival.id)) is not None
+            and call.path == path
+            and arrival.at > since
+            and is_in_touch(call.gateway, arrival.at, history.disruptions)
+        ]
+        if len(late) > MAX_SENDS_AFTER_CRASHES:
+            detail = f"{path}: sent {len(late)} times after {MAX_CRASHES}"
+            yield Violation(
+                "CRASHES", since, f"{detail} crashes, {len(times)} in all"
+            )
+
+
 @CHECKS.register("GONE")
 def _departed_callers(history: History) -> Iterator[Violation]:
     """Requests that reach servers after their callers have left.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -114,6 +114,15 @@
     return {"target": _gateway(rng, schedule), "for_s": 3.0, "how": how}
 
 
+@KINDS.register("crashing_request")
+def _crashing(rng: random.Random, schedule: Schedule) -> dict[str, object]:
+    return {
+        "target": rng.randrange(1_000),
+        "for_s": round(rng.uniform(4.0, 12.0), 2),
+        "how": rng.choice(("safe", "unsafe")),
+    }
+
+
 @KINDS.register("store_restored")
 def _restored(rng: random.Random, schedule: Schedule) -> dict[str, object]:
     how = rng.choice(("hang", "reset", "busy"))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from soak.callers import Target
-from soak.proxy import FaultProxy
+from soak.proxy import FaultProxy, Link
 from soak.records import Act, Arrival, Disruption, History, Run
 from tests.gateway.fleet import (
     Fleet,
@@ -33,6 +33,8 @@
 # Rate per second and burst of the customers; the second is beyond its rate.
 RATES = {"open": (0.0, 0.0), "limited": (30.0, 30.0)}
 KEYS_OF_OPEN = 8
+# Part of the paths of requests that crash servers.
+CRASHING = "/crash/"
 
 
 class Server:
@@ -91,6 +93,8 @@
         self.store_links: list[FaultProxy] = []
         # What each gateway connects to in place of the servers' proxies.
         self.server_links: list[list[FaultProxy]] = []
+        # Links of the gateways that are cut off, by their number.
+        self._cuts: dict[int, Link] = {}
 
     async def __aenter__(self) -> SoakFleet:
         enter = self._stack.enter_async_context
@@ -265,17 +269,41 @@
                 ),
             )
         )
-        await server.standin.control(work_ms=WORK_MS, slots=16)
+        await server.standin.control(
+            work_ms=WORK_MS, slots=16, hang_on=CRASHING
+        )
         server.proxy.target = server.standin.address
+        self._set_links()
         await self.write_entry(server)
 
     async def stop_server(self, server: Server) -> None:
         """Kills a server; its entry lapses later."""
         name = server.name
         server.standin = None
+        self._set_links()
         await server.stack.aclose()
         self._tasks.append(asyncio.create_task(self._lapse(name)))
 
+    def cut(self, gateway: Gateway, link: Link) -> None:
+        """Sets the links of a gateway to all servers."""
+        number = self.gateways.index(gateway)
+        self._cuts[number] = link
+        self._set_links()
+
+    def _set_links(self) -> None:
+        """Sets the links of gateways to servers.
+
+        The host of a server that has ended refuses connections, which a proxy
+        would accept in its place.
+        """
+        for number, links in enumerate(self.server_links):
+            cut = self._cuts.get(number, Link.SOUND)
+            for server, proxy in zip(self.servers, links, strict=True):
+                is_down = server.standin is None and cut is Link.SOUND
+                link = Link.CUT_RESET if is_down else cut
+                if proxy.link is not link:
+                    proxy.set_link(link)
+
     async def write_entry(self, server: Server) -> None:
         """Writes what a server says of itself."""
         self._sequence += 1
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 
 from radishmux.registry import Registry
-from soak.checks import CUT
+from soak.checks import CRASH, CUT
+from soak.crashing_caller import CrashingCaller
 from soak.departing_callers import DepartingCallers
 from soak.faults import Fault, Schedule
 from soak.fleet import LEAVE_AFTER_S, Server, SoakFleet
@@ -24,6 +25,10 @@
 REST_S = 2.0
 # Age of the copy that the store comes back from.
 COPY_AGE_S = 4.0
+# How often the runs of a crashing request are looked for, and the time until a
+# server that it crashed starts again.
+CRASH_POLL_S = 0.03
+CRASHED_S = 2.0
 # Time for which a server that says that it leaves goes on serving.
 SERVES_ON_S = 6.0
 
@@ -107,14 +112,36 @@
     async def _cut(self, fault: Fault) -> None:
         """Parts a gateway from all servers; it stays in touch otherwise."""
         gateway = self._gateway(fault)
-        links = self._fleet.server_links[self._fleet.gateways.index(gateway)]
         async with self._lock(f"server links of {gateway.name}"):
             disruption = self._fleet.disrupt(CUT, CUT + gateway.name)
-            for link in links:
-                link.set_link(Link[fault.how])
+            self._fleet.cut(gateway, Link[fault.how])
             await asyncio.sleep(fault.for_s)
-            for link in links:
-                link.set_link(Link.SOUND)
+            self._fleet.cut(gateway, Link.SOUND)
+            disruption.until = time.time()
+
+    @_INJECT.register("crashing_request")
+    async def _crashing_request(self, fault: Fault) -> None:
+        """A request comes again and again and ends each server that runs it."""
+        caller = CrashingCaller(self._fleet, fault)
+        calls = asyncio.create_task(caller.run())
+        async with asyncio.TaskGroup() as group:
+            while not calls.done():
+                for name in caller.new_victims():
+                    group.create_task(self._crash(name, caller.path))
+                await asyncio.sleep(CRASH_POLL_S)
+        await calls
+
+    async def _crash(self, name: str, path: str) -> None:
+        for server in self._fleet.servers:
+            if server.name != name or server.standin is None:
+                continue
+            disruption = self._fleet.disrupt("server_crash", name)
+            await self._fleet.stop_server(server)
+            self._fleet.note(CRASH, path)
+            async with self._lock(f"server {server.number}"):
+                await asyncio.sleep(CRASHED_S)
+                if server.standin is None:
+                    await self._fleet.start_server(server)
             disruption.until = time.time()
 
     @_INJECT.register("store_link")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -70,6 +70,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def link(self) -> Link:
+        """What happens to connections now."""
+        return self._link
+
     def set_link(self, link: Link) -> None:
         """Sets what happens to all connections from now on."""
         self._link = link
--- a/soak/records.py
+++ b/soak/records.py
@@ -100,8 +100,8 @@
     """Something that the operator wrote, or a server said of itself.
 
     Attributes:
-        kind: "configuration", "drain" or "key_withdrawn".
-        subject: Version, server or key.
+        kind: "configuration", "drain", "key_withdrawn" or "crash".
+        subject: Version, server, key, or path of the request.
         at: Unix seconds of the store's acknowledgement.
     """
 
--- a/soak/report.py
+++ b/soak/report.py
@@ -15,6 +15,7 @@
     "store": "s",
     "server": "b",
     "callers": "c",
+    "crashing": "x",
     "configuration": "o",
     "key": "o",
 }
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -28,6 +28,8 @@
         rest_s: Seconds of rest that it asks for as it turns every request
             away; None turns none away.
         leaving: Whether it says in its answers that it is about to leave.
+        hang_on: Part of the paths of requests that it begins to run and never
+            answers; empty: it answers all.
     """
 
     work_ms: float = 5.0
@@ -36,6 +38,7 @@
     limit_per_s: float | None = None
     rest_s: float | None = None
     leaving: bool = False
+    hang_on: str = ""
 
 
 class PlatformServerStandIn:
@@ -82,6 +85,9 @@
         try:
             body = await request.read()
             self._note(request)
+            hang_on = self._behaviour.hang_on
+            if hang_on and hang_on in request.path:
+                await asyncio.Event().wait()
             await asyncio.sleep(self._behaviour.work_ms / 1000)
         finally:
             self._running -= 1
--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from bench.fleet import free_addresses
 from standins.platform_server import PlatformServerStandIn
 from tests.gateway.fleet import HOST, run_fleet, server_entry
 
@@ -75,6 +76,10 @@
     def incarnation(self):
         return f"{self.name}/{self._starts}"
 
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._port}"
+
     async def start(self):
         self._starts += 1
         self._ended = asyncio.Event()
@@ -101,7 +106,7 @@
         await self._fleet.put(
             **{
                 f"servers/{self.name}": server_entry(
-                    f"127.0.0.1:{self._port}",
+                    self.address,
                     Zone=self._domain,
                     Slots=SLOTS,
                     Version=self.version,
@@ -282,15 +287,33 @@
 
 
 @contextlib.asynccontextmanager
-async def run_crashing_fleet(folder, gateways=GATEWAYS, **settings):
-    """Runs servers that can crash, and gateways, which are ready."""
-    async with run_fleet(folder, servers=0) as fleet:
+async def run_crashing_fleet(folder, gateways=GATEWAYS, cut_off=(), **settings):
+    """Runs servers that can crash, and gateways, which are ready.
+
+    Args:
+        folder: Where settings and logs go.
+        gateways: Failure domain of each gateway by name.
+        cut_off: Names of the gateways that reach no server.
+        settings: Further settings of the gateways.
+    """
+    async with run_fleet(folder, servers=0, store_listeners=2) as fleet:
         async with asyncio.TaskGroup() as group:
             crashing_fleet = CrashingFleet(fleet, group)
             for server in crashing_fleet.servers:
                 await server.start()
+            dead = free_addresses(1)[0]
+            listener = fleet.store.addresses[1]
+            await fleet.set_views(
+                {
+                    listener: {
+                        one.address: dead for one in crashing_fleet.servers
+                    }
+                }
+            )
             for name, domain in gateways.items():
-                fleet.create(name, domain, **settings)
+                gateway = fleet.create(name, domain, **settings)
+                if name in cut_off:
+                    gateway.settings["store"]["address"] = listener
             await asyncio.gather(*(one.start() for one in fleet.gateways))
             await crashing_fleet.send_others(MEETING_S)
             crashing_fleet.answers.clear()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -65,6 +65,17 @@
     assert full_mesh_max == 2 or crashed_before <= MAX_CRASHED
 
 
+# BUDGET: a peer that sends the request for an instance that reaches no server
+# is the one that sees the crash.
+async def test_crashing_request_of_a_cut_instance_ends_three_servers(tmp_path):
+    async with run_crashing_fleet(tmp_path, cut_off=("g0",)) as fleet:
+        await fleet.send_crashing(SAFE, 8.0)
+        logs = fleet.fleet.gateways[0].log_text()
+    assert '"relayed_via"' in logs
+    assert fleet.late_sends(SAFE) <= MAX_LATE_SENDS
+    assert len(fleet.crashed(SAFE)) <= MAX_CRASHED
+
+
 # BUDGET: the store keeps what a request did when no instance is left to tell.
 async def test_crashing_request_stays_withheld_when_all_die_at_once(tmp_path):
     async with run_crashing_fleet(tmp_path) as fleet:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 from rich.console import Console
 
-from soak.checks import CHECKS, CONTACT_S, CUT, RECOVERY_S, violations
+from soak.checks import CHECKS, CONTACT_S, CRASH, CUT, RECOVERY_S, violations
 from soak.faults import KINDS, Fault, Schedule, draw
 from soak.records import Act, Arrival, Call, Disruption, History, Run
 from soak.report import show
@@ -81,6 +81,11 @@
         runs=[run(at=9.0)],
         acts=[Act(kind="drain", subject="s0", at=5.0)],
     ),
+    "CRASHES": History(
+        calls=[call(str(n), status=503) for n in range(6)],
+        arrivals=[arrival(str(n), at=14.5 + n) for n in range(6)],
+        acts=[Act(kind=CRASH, subject="/p", at=10.0 + n) for n in range(4)],
+    ),
     "LIMIT": History(
         calls=[
             call(str(n), sent_at=n / 5, ended_at=n / 5 + 0.1) for n in range(60)
