--- a/soak/crashing_caller.py
+++ b/soak/crashing_caller.py
@@ -29,7 +29,7 @@
         self._fleet = fleet
         self._fault = fault
         self._rng = random.Random(fault.target)
-        self._seen = 0
+        self._seen: set[tuple[str, str]] = set()
         self.path = f"/{fault.how}{CRASHING}{fault.target}-{fault.at}"
 
     async def run(self) -> None:
@@ -81,7 +81,10 @@
 
     def new_victims(self) -> Iterator[str]:
         """Yields the servers that began to run the request since last time."""
-        runs = [run for run in self._fleet.runs() if run.target == self.path]
-        new, self._seen = runs[self._seen :], len(runs)
-        for run in sorted(new, key=lambda run: run.at):
-            yield run.server
+        for run in self._fleet.runs():
+            if (
+                run.target == self.path
+                and (run.id, run.server) not in self._seen
+            ):
+                self._seen.add((run.id, run.server))
+                yield run.server
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 # Schedules that once failed. sighup-while-starting: the process was ended by a
 # SIGHUP that came before the daemon handled it. leaving-through-helper: a cut
 # gateway did not read what a relayed response said of its server.
+# crashing-request: a request was sent 13 times after it had crashed 3 servers.
 CASES = sorted((pathlib.Path(__file__).parent / "soak_cases").glob("*.json"))
 
 
