--- a/soak/injector.py
+++ b/soak/injector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -33,6 +34,12 @@
 SERVES_ON_S = 6.0
 
 
+async def _control(server: Server, **change: object) -> None:
+    """Sets faults of a server, unless it has crashed under a request."""
+    if server.standin is not None:
+        await server.standin.control(**change)
+
+
 class Injector:
     """Carries out a schedule; every fault runs as a task of its own.
 
@@ -216,9 +223,13 @@
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
             disruption = self._fleet.disrupt(fault.kind, server.name)
-            server.standin.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(fault.for_s)
-            server.standin.process.send_signal(signal.SIGCONT)
+            standin = server.standin
+            if standin is not None:
+                standin.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(fault.for_s)
+                # It may have crashed under a request meanwhile.
+                with contextlib.suppress(ProcessLookupError):
+                    standin.process.send_signal(signal.SIGCONT)
             disruption.until = time.time()
 
     @_INJECT.register("server_link")
@@ -236,7 +247,7 @@
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
             disruption = self._fleet.disrupt(fault.kind, server.name)
-            await server.standin.control(lose_answers=5)
+            await _control(server, lose_answers=5)
             disruption.until = time.time() + 1.0
 
     @_INJECT.register("server_drain")
@@ -264,15 +275,15 @@
         """Lets a server say for a time what it needs."""
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
-            await server.standin.control(**{field: value})
+            await _control(server, **{field: value})
             await asyncio.sleep(fault.for_s)
-            await server.standin.control(**{field: None})
+            await _control(server, **{field: None})
 
     @_INJECT.register("server_leaving")
     async def _server_leaving(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
-            await server.standin.control(leaving=True)
+            await _control(server, leaving=True)
             await asyncio.sleep(SERVES_ON_S)
             await self._fleet.stop_server(server)
             await asyncio.sleep(2.0)
