Test that a release withholds no request

Nothing changes for callers. Servers that say that they drain and end 2.5 s later, a third at a time, under a load with a popular object: no request is withheld or refused because of a mark.

--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -102,7 +102,7 @@
         standin.behave(work_ms=WORK_MS, slots=SLOTS)
         await self.register()
 
-    async def register(self):
+    async def register(self, **fields):
         await self._fleet.put(
             **{
                 f"servers/{self.name}": server_entry(
@@ -111,6 +111,7 @@
                     Slots=SLOTS,
                     Version=self.version,
                     born=1_000 + self._starts,
+                    **fields,
                 )
             }
         )
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -18,6 +18,8 @@
 # Two crashes raise the suspicion, and one run on trial confirms it.
 MAX_CRASHED = 3
 CRASHED_TOGETHER = 5
+# The users' bound on the time that a server which leaves goes on serving.
+DRAIN_S = 2.5
 SAFE, UNSAFE = "/safe/crash/1", "/unsafe/crash/1"
 METHODS = {SAFE: "GET", UNSAFE: "POST"}
 
@@ -161,6 +163,25 @@
     assert late.count(200) > 0.99 * len(late)
 
 
+# A release ends servers that have said so, some with requests that go on.
+async def test_release_of_all_servers_withholds_no_request(tmp_path):
+    async with run_crashing_fleet(tmp_path) as fleet:
+        others = asyncio.create_task(fleet.send_others(12.0, popular=0.3))
+        for first in range(3):
+            group = fleet.servers[first::3]
+            for server in group:
+                await server.register(State="draining", Sequence=2)
+            await asyncio.sleep(DRAIN_S)
+            for server in group:
+                server.version = "v2"
+                server.crash()
+        await others
+        logs = "".join(one.log_text() for one in fleet.fleet.gateways)
+    assert '"state":"draining"' in logs
+    assert '"outcome":"request_crashes' not in logs
+    assert '"state":"withheld"' not in logs
+
+
 # A mark must not cost requests that are innocent of the crashes.
 @pytest.mark.parametrize("popular", [0.0, 0.5])
 async def test_servers_that_crash_on_their_own_cost_no_requests(
