Keep the port of a cut proxy from other processes

What callers saw: nothing; this is a fault of the tests. Cause: FaultProxy closed its listener for the time of a cut. A stand-in of another test that asked the system for a port could get this one; the gateway then reached a foreign process, took the cut for ended and passed its answers on. Change: a bound socket that never listens reserves the port as long as the proxy exists. The proxy listens without a task, so that cuts in quick succession cannot open two listeners, which failed in the same way.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -39,22 +39,32 @@
 
     Bytes that were dropped are gone: a connection that was silent for a
     moment never recovers, as behind a firewall that forgot it.
+
+    The port stays reserved while a cut closes the listener. Otherwise a process
+    of another test that asks the system for a port could get this one and
+    answer in place of the target.
     """
 
     def __init__(self) -> None:
         self.target = ""
         self.address = ""
         self._link = Link.SOUND
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._reservation: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         # Sockets whose full queue lets connections hang.
         self._queue: list[socket.socket] = []
 
     async def __aenter__(self) -> FaultProxy:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
+        # Bound, but never listening: the system gives the port to nobody else,
+        # and refuses connections as long as no other socket listens on it.
+        self._reservation = socket.socket()
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind(("127.0.0.1", 0))
+        host, port = self._reservation.getsockname()
         self.address = f"{host}:{port}"
+        self._listen()
         return self
 
     async def __aexit__(
@@ -63,12 +73,13 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         self._empty_queue()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._reservation is not None:
+            self._reservation.close()
 
     @property
     def link(self) -> Link:
@@ -85,27 +96,34 @@
         if link not in CUTS:
             self._listen()
             return
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self._stop_listening()
         if link is Link.CUT_SILENT:
             self._fill_queue()
 
     def _listen(self) -> None:
-        """Accepts connections again after a cut."""
-        if self._server is not None:
+        if self._listener is not None:
             return
-        task = asyncio.create_task(self._start())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _start(self) -> None:
         host, _, port = self.address.rpartition(":")
-        server = await asyncio.start_server(self._serve, host, int(port))
-        if self._server is None and self._link not in CUTS:
-            self._server = server
-        else:
-            server.close()
+        self._listener = socket.create_server((host, int(port)))
+        self._listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._listener, self._accept, self._listener)
+
+    def _stop_listening(self) -> None:
+        if self._listener is None:
+            return
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._listener.close()
+        self._listener = None
+
+    def _accept(self, listener: socket.socket) -> None:
+        # A client may have left between the event and this call.
+        with contextlib.suppress(BlockingIOError, ConnectionAbortedError):
+            connection, _ = listener.accept()
+            connection.setblocking(False)
+            task = asyncio.create_task(self._serve(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def _fill_queue(self) -> None:
         """Lets new connections hang: nobody takes them from a full queue."""
@@ -123,19 +141,14 @@
             one.close()
         self._queue = []
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
+    async def _serve(self, connection: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=connection)
         self._writers.add(writer)
         try:
             await self._join(reader, writer)
         except (OSError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
-            self._tasks.discard(task)
             self._writers.discard(writer)
 
     async def _join(
