Give stand-ins addresses that nothing else uses after their end

What callers saw: nothing; tests only. The same fault as in FaultProxy was possible wherever a stand-in ends while gateways still send to it: its port came from the range of the system, on an IP address that all tests share, and a stand-in of another test could get it. The servers of CrashingFleet end and start again at the same address on purpose. Change: stand-ins and servers of CrashingFleet listen at an address of free_addresses, as the gateways do: an IP address of the test process, and a port that it never gives twice.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bench.fleet import free_addresses
 from soak.callers import Target
 from soak.proxy import FaultProxy, Link
 from soak.records import Act, Arrival, Disruption, History, Run
@@ -98,7 +99,7 @@
 
     async def __aenter__(self) -> SoakFleet:
         enter = self._stack.enter_async_context
-        listen = ["127.0.0.1:0"] * (1 + self._counts[0])
+        listen = free_addresses(1 + self._counts[0])
         self.store = await enter(standin("platform_store", listen))
         self.platform = Fleet(self.store, {}, self._folder)
         for number in range(self._counts[1]):
--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -63,7 +63,8 @@
         self._domain = domain
         self._fleet = fleet
         self._starts = 0
-        self._port = 0
+        # No other process takes it while the server is down.
+        self._address = free_addresses(1)[0]
         self._runner = None
         self._ended = None
         self.version = "v1"
@@ -78,7 +79,7 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self._port}"
+        return self._address
 
     async def start(self):
         self._starts += 1
@@ -95,9 +96,9 @@
             app, access_log=None, shutdown_timeout=0, handler_cancellation=True
         )
         await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", self._port, reuse_address=True)
+        host, _, port = self.address.rpartition(":")
+        site = web.TCPSite(runner, host, int(port), reuse_address=True)
         await site.start()
-        self._port = runner.addresses[0][1]
         self._runner = runner
         standin.behave(work_ms=WORK_MS, slots=SLOTS)
         await self.register()
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -222,7 +222,7 @@
 async def run_fleet(folder, servers=2, store_listeners=1):
     """Runs a store with a configuration and with registered servers."""
     async with contextlib.AsyncExitStack() as stack:
-        listen = ["127.0.0.1:0"] * store_listeners
+        listen = free_addresses(store_listeners)
         store = await stack.enter_async_context(
             standin("platform_store", listen)
         )
--- a/tests/standin_processes.py
+++ b/tests/standin_processes.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from bench.fleet import free_addresses
+
 _ROOT = pathlib.Path(__file__).parent.parent
 _READY_S = 20.0
 
@@ -65,10 +67,15 @@
 @contextlib.asynccontextmanager
 async def standin(
     module: str,
-    listen: Sequence[str] = ("127.0.0.1:0",),
+    listen: Sequence[str] = (),
     arguments: Sequence[str] = (),
 ) -> AsyncIterator[StandIn]:
-    """Runs `python -m standins.<module>` until the block ends."""
+    """Runs `python -m standins.<module>` until the block ends.
+
+    Without `listen` it has an address that nothing else uses after its end:
+    clients that still connect to it are refused and reach no other test.
+    """
+    listen = listen or free_addresses(1)
     options = [part for one in listen for part in ("--listen", one)]
     process = await asyncio.create_subprocess_exec(
         sys.executable,
