Wait for the next dispatcher with requests that were not sent yet

What callers saw (radishmuxd): while a cell moved to another instance, requests at the old dispatcher that still waited for a connection were answered 503 gate_closed, although their deadline left time for the handover, for which other requests wait. Cause: the gate stops such an attempt before its first byte. The dispatcher took this for a failed attempt: the retry that follows finds no cell any more, and the refusal names the failed attempt's reason, for which nobody waits, in place of not_dispatcher. The same held for a request that waited for the gate while the cell was given up (no_permit). Change: an attempt that the gate held back is none: it costs no attempt and no retry, and the next one takes its place. A cell that was given up is not_dispatcher. Remains: a request whose body is streamed is still refused (true, not run), since its stream has been handed to the connection.

--- a/src/radishmux/dispatch/attempt.py
+++ b/src/radishmux/dispatch/attempt.py
@@ -28,6 +28,7 @@
 # A server sets this header to 1 in a 503 for a request that it did not start.
 _SHED_HEADER = "X-Radishmux-Shed"
 _BODYLESS_STATUSES = (204, 304)
+_HELD_BACK = "gate_closed"
 
 
 class Failure:
@@ -54,6 +55,11 @@
         self.broken = broken
         self.refused = refused
 
+    @property
+    def is_held_back(self) -> bool:
+        """Whether the gate was closed, so that nothing was sent."""
+        return self.reason == _HELD_BACK
+
 
 class ReceivedResponse:
     """A response whose body is either complete or still being streamed.
@@ -219,7 +225,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return _failure_from_error(call, error)
         except NotSentError:
-            return Failure(Verdict.NOT_RUN, "gate_closed")
+            return Failure(Verdict.NOT_RUN, _HELD_BACK)
         finally:
             if call.stream is None:
                 self._watch.remove(call)
--- a/src/radishmux/dispatch/dispatcher.py
+++ b/src/radishmux/dispatch/dispatcher.py
@@ -101,6 +101,7 @@
         """
         failure_refusal: Refusal | None = None
         avoid: Backend | None = None
+        is_paid = False
         while True:
             pool = self._runtime.pool(exchange.cell)
             if pool is None:
@@ -108,7 +109,12 @@
                     exchange, failure_refusal, not_dispatcher()
                 )
             if not await self._wait_for_gate(exchange):
-                return _final_refusal(exchange, failure_refusal, no_permit())
+                is_given_up = self._runtime.pool(exchange.cell) is None
+                return _final_refusal(
+                    exchange,
+                    failure_refusal,
+                    not_dispatcher() if is_given_up else no_permit(),
+                )
             exclusive = False
             if self._marks:
                 decision = self._marks.decide(
@@ -127,7 +133,7 @@
             if not self._key_is_valid(exchange):
                 pool.release(acquired)
                 return _final_refusal(exchange, failure_refusal, key_revoked())
-            if not self._try_spend_budget(exchange):
+            if not is_paid and not self._try_spend_budget(exchange):
                 pool.release(acquired)
                 self._metrics.count(
                     "retries_denied_total", service=exchange.service
@@ -140,6 +146,12 @@
             )
             if isinstance(result, BackendResponse):
                 return result
+            is_paid = result.is_held_back
+            if is_paid:
+                # The next attempt takes the place of one that was not sent.
+                exchange.attempts -= 1
+                if self._may_retry(exchange):
+                    continue
             exchange.verdict = combine_verdicts(
                 exchange.verdict, result.verdict
             )
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -18,6 +18,7 @@
 from tests.test_crashes import CELL, fleet
 
 LEAVE_S = 3.0
+ATTEMPTS = "x-radishmux-attempts"
 
 pool_step = st.one_of(
     st.tuples(st.just("request"), st.sampled_from(("v1", "v2")), st.booleans()),
@@ -182,6 +183,48 @@
             assert (await server.control())["max_in_flight"] <= 4
 
 
+async def test_requests_that_wait_for_a_connection_move_with_the_cell():
+    """Guards I10: a holder that has sent nothing yet leaves it to the next one.
+
+    It would answer 503, although the caller has time to wait for the handover.
+    """
+    async with fleet(2, 2) as (nodes, servers, session):
+        holder = next(n for n in nodes if n.runtime.pool(CELL) is not None)
+        other = next(n for n in nodes if n is not holder)
+        is_connected = asyncio.Event()
+        for backend_server in holder.runtime.pool(CELL).backends:
+            connections = holder.runtime.connections(backend_server)
+            _delay_connecting(connections, is_connected)
+
+        async def send() -> tuple[int, str]:
+            async with session.get(
+                f"{other.url}/poles/x", headers=headers(deadline_ms="5000")
+            ) as response:
+                await response.read()
+                return response.status, response.headers[ATTEMPTS]
+
+        calls = [asyncio.create_task(send()) for _ in range(4)]
+        await eventually(lambda: holder.runtime.in_use == 4)
+        for node in nodes:
+            node.parts.members.leaving.add(holder.parts.name)
+        await eventually(lambda: holder.runtime.pool(CELL) is None)
+        is_connected.set()
+        assert await asyncio.gather(*calls) == [(200, "1")] * 4
+        runs = [run for server in servers for run in await server.runs()]
+        assert len(runs) == 4
+
+
+def _delay_connecting(connections, is_connected: asyncio.Event) -> None:
+    """Lets requests to a server wait before they have a connection."""
+    send = connections.send
+
+    async def send_later(*request):
+        await is_connected.wait()
+        return await send(*request)
+
+    connections.send = send_later
+
+
 async def test_an_upload_waits_for_a_slot_and_is_resumed_after_a_drain():
     """Guards I13: no upload is refused because all slots are in use.
 
