Show in the soak's report when the run itself stood still

What callers saw: nothing. Change: the run watches its event loop and reports stalls of more than 0.2 s. No check takes them into account.

--- a/soak/records.py
+++ b/soak/records.py
@@ -110,6 +110,18 @@
     at: float
 
 
+class Stall(msgspec.Struct, frozen=True, kw_only=True):
+    """Time in which callers and proxies of the run did nothing.
+
+    Attributes:
+        since: Unix seconds.
+        until: Unix seconds.
+    """
+
+    since: float
+    until: float
+
+
 class History(msgspec.Struct, kw_only=True):
     """All records of one run.
 
@@ -123,6 +135,7 @@
         faults_end: Unix seconds after which no fault was injected.
         ended_at: Unix seconds of the end.
         rates: Rate per second and burst of each customer.
+        stalls: Times in which the process of the run stood still.
     """
 
     calls: list[Call] = []
@@ -134,3 +147,4 @@
     faults_end: float = 0.0
     ended_at: float = 0.0
     rates: dict[str, tuple[float, float]] = {}
+    stalls: list[Stall] = []
--- a/soak/report.py
+++ b/soak/report.py
@@ -60,11 +60,20 @@
             row[column] = mark
     for name in sorted(rows):
         table.add_row(name, "".join(rows[name]))
+    if history.stalls:
+        table.add_row("the run stood still", _stalls(outcome, started_at))
     table.add_row("served", _served(outcome, started_at, step_s))
     table.add_row("", f"0 s, {step_s * _COLUMNS:.0f} s at the end")
     return table
 
 
+def _stalls(outcome: Outcome, started_at: float) -> str:
+    return ", ".join(
+        f"{one.since - started_at:.1f} s for {one.until - one.since:.2f} s"
+        for one in outcome.history.stalls
+    )
+
+
 def _served(outcome: Outcome, started_at: float, step_s: float) -> str:
     """Returns a digit for each column: tenths of the requests served."""
     counts = [[0, 0] for _ in range(_COLUMNS)]
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak.fleet import RATES, SoakFleet
 from soak.injector import Injector
 from soak.records import History
+from soak.stall_monitor import StallMonitor
 
 CALLERS = 10
 # Load after the faults and the users' time for recovery.
@@ -55,13 +56,16 @@
     history = History(
         rates={name: rate for name, rate in RATES.items() if rate[0]}
     )
-    async with SoakFleet(
-        folder,
-        schedule.gateways,
-        schedule.servers,
-        schedule.full_mesh_max,
-        history,
-    ) as fleet:
+    async with (
+        StallMonitor(history.stalls),
+        SoakFleet(
+            folder,
+            schedule.gateways,
+            schedule.servers,
+            schedule.full_mesh_max,
+            history,
+        ) as fleet,
+    ):
         callers = [
             asyncio.create_task(
                 Caller(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
+import time
 
 import msgspec
 import pytest
@@ -14,6 +16,7 @@
 from soak.report import show
 from soak.run import Outcome, play
 from soak.shrink import shrink
+from soak.stall_monitor import StallMonitor
 
 # Schedules that once failed. sighup-while-starting: the process was ended by a
 # SIGHUP that came before the daemon handled it. leaving-through-helper: a cut
@@ -233,13 +236,8 @@
     assert outcome.served > 0
 
 
-# The report of a run with departing callers ended with an error.
-def test_report_shows_every_kind_of_fault():
-    disruptions = [
-        Disruption(kind=kind, target=kind, since=10.0, until=11.0)
-        for kind in KINDS
-    ]
-    history = History(disruptions=disruptions, ended_at=20.0)
+def shown(history):
+    """Returns the report of a run that only has a history."""
     outcome = Outcome(
         schedule=draw(1, 8.0),
         violations=[],
@@ -250,10 +248,33 @@
     )
     console = Console(record=True, width=120)
     show(outcome, console)
-    text = console.export_text()
+    return console.export_text()
+
+
+# The report of a run with departing callers ended with an error.
+def test_report_shows_every_kind_of_fault():
+    disruptions = [
+        Disruption(kind=kind, target=kind, since=10.0, until=11.0)
+        for kind in KINDS
+    ]
+    text = shown(History(disruptions=disruptions, ended_at=20.0))
     assert "callers_leave" in text and "store_restored" in text
 
 
+# GONE was broken once, and nothing told whether the proxies had stood still.
+async def test_run_records_when_it_stood_still():
+    stalls = []
+    async with StallMonitor(stalls):
+        await asyncio.sleep(0.1)
+        assert stalls == []
+        since = time.time()
+        time.sleep(0.5)  # noqa: ASYNC251
+        await asyncio.sleep(0.1)
+    (stall,) = stalls
+    assert stall.since <= since and stall.until >= since + 0.5
+    assert "stood still" in shown(History(stalls=stalls, ended_at=20.0))
+
+
 async def test_seeds_that_failed_once_break_no_rule(tmp_path):
     """Schedules in `soak_cases`; there are none as long as none has failed."""
     for path in CASES:
