Find the end of a server whose listener outlives its connections

Cause: when a process ends, the kernel closes its connections first and its listener last (last opened, first closed). The gateway asked once, right after the connection broke, whether the server refuses connections. The listener still accepted that connection, so that the server counted as alive and the request got no mark. Change: a connection that is opened is watched for 50 ms. If it stays open, the server lives, and a later request uses it; if it is closed, another one is tried, three at most. Servers of CrashingFleet now end as the kernel ends a process, with 10 ms between. New in test_http_client: listeners that close 0, 10 and 40 ms later, and servers that live.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -25,6 +25,12 @@
 from radishmux.verdict import Verdict
 
 CONNECT_TIMEOUT_S = 1.0
+# The kernel closes the connections of a process that ends before its listener,
+# and resets the connections that the listener has accepted meanwhile.
+LISTENER_END_S = 0.05
+_MAX_REFUSAL_CHECKS = 3
+_REFUSED_ON_CONNECT = f"connect:{ConnectionRefusedError.__name__}"
+_RESET_ON_CONNECT = f"connect:{ConnectionResetError.__name__}"
 
 
 class ServerConnectionPool:
@@ -92,6 +98,30 @@
         self._release(connection)
         return ""
 
+    async def is_refused(self, timeout_s: float) -> bool:
+        """Returns whether nothing listens at the server's address.
+
+        A connection that is accepted and closed at once may be one of a process
+        that is just ending, so that another one is tried.
+
+        Args:
+            timeout_s: Time limit for opening a connection, in seconds.
+        """
+        for _ in range(_MAX_REFUSAL_CHECKS):
+            connection = await self._connect(self._clock.now() + timeout_s)
+            if isinstance(connection, NoResponse):
+                if connection.reason == _RESET_ON_CONNECT:
+                    continue
+                return connection.reason == _REFUSED_ON_CONNECT
+            try:
+                await asyncio.sleep(LISTENER_END_S)
+                is_open = connection.is_reusable
+            finally:
+                self._release(connection)
+            if is_open:
+                return False
+        return False
+
     def give_up_connecting(self, within_s: float) -> None:
         """Lets the attempts to connect time out soon.
 
--- a/src/radishmux/gateway/server_connections.py
+++ b/src/radishmux/gateway/server_connections.py
@@ -18,7 +18,6 @@
 # Time over which waiting requests are given another way. All at once, they
 # would fill the servers' queues.
 GIVE_UP_WITHIN_S = 0.3
-_REFUSED = f"connect:{ConnectionRefusedError.__name__}"
 
 
 class ServerConnections:
@@ -74,7 +73,7 @@
 
     async def is_refused(self, server: Server) -> bool:
         """Returns whether a server's host answers that nothing listens."""
-        return await self.pool(server).probe(PROBE_TIMEOUT_S) == _REFUSED
+        return await self.pool(server).is_refused(PROBE_TIMEOUT_S)
 
     def give_up_connecting(self) -> None:
         """Ends all attempts to connect soon, which would fail later."""
--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -23,6 +23,9 @@
 WORK_MS = 60.0
 # Time from the start of a crashing request to the end of its server.
 CRASH_AFTER_S = 0.06
+# The kernel closes the connections of a process that ends before its listener:
+# a connection that comes meanwhile is opened, and reset when that is closed.
+LISTENER_OUTLIVES_S = 0.01
 # A crashed server's entry lapses after the first time, and the server is back
 # after the second.
 LAPSE_S = 1.5
@@ -141,8 +144,11 @@
             return
         if target:
             self._fleet.crashes.append((target, time.monotonic()))
+        loop = asyncio.get_running_loop()
         for site in list(runner.sites):
-            site._server.close()
+            for listener in site._server.sockets:
+                loop.remove_reader(listener.fileno())
+            loop.call_later(LISTENER_OUTLIVES_S, site._server.close)
         for connection in runner.server.connections:
             if connection.transport is not None:
                 connection.transport.abort()
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -227,6 +227,41 @@
     assert response.connection_failed
 
 
+# BUDGET: a process that ended was taken for a broken connection, since its
+# listener still accepted one after its connections were closed.
+@pytest.mark.parametrize("closes_after_s", [0.0, 0.01, 0.04])
+async def test_listener_that_closes_after_the_connections_is_refused(
+    closes_after_s,
+):
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    connections = ServerConnectionPool(address, SystemClock())
+    asyncio.get_running_loop().call_later(closes_after_s, listener.close)
+    assert await connections.is_refused(1.0)
+    assert connections.open_count == 0
+
+
+async def test_server_that_keeps_a_connection_open_is_not_refused():
+    async with ScriptedServer([encode_response(b"a")]) as server:
+        connections = ServerConnectionPool(server.address, SystemClock())
+        assert not await connections.is_refused(1.0)
+        # Its connection serves the next request.
+        await send(server, connections)
+        connections.close()
+    assert server.connections == 1
+
+
+async def test_server_that_closes_each_connection_is_not_refused():
+    async def close(reader, writer):
+        writer.close()
+
+    async with await asyncio.start_server(close, "127.0.0.1", 0) as server:
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        connections = ServerConnectionPool(address, SystemClock())
+        assert not await connections.is_refused(1.0)
+    assert connections.open_count == 0
+
+
 async def test_no_response_by_the_deadline_may_have_run():
     async with ScriptedServer(["hang"]) as server:
         response = await send(server, timeout_s=0.05)
