Let the soak's servers end as the kernel ends a process

What callers saw: nothing; the soak did not see that the gateways took servers that had ended for alive, since its proxies closed the listener together with the connections. Change: a proxy that plays the end of a host resets the connections first and closes its listener 10 ms later; connections that come between are opened and reset.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -32,6 +32,8 @@
 # Connections that fill the queue of a listener with the shortest backlog.
 _QUEUE_FILLERS = 3
 DELAY_S = 0.15
+# The kernel closes the connections of a process that ends before its listener.
+LISTENER_OUTLIVES_S = 0.01
 
 
 class FaultProxy:
@@ -50,6 +52,8 @@
         self.address = ""
         self._link = Link.SOUND
         self._listener: socket.socket | None = None
+        # Listener that accepts nothing any more and is about to be closed.
+        self._ending: socket.socket | None = None
         self._reservation: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -74,6 +78,7 @@
         trace: TracebackType | None,
     ) -> None:
         self._stop_listening()
+        self._close_ending()
         self._empty_queue()
         for task in list(self._tasks):
             task.cancel()
@@ -97,12 +102,18 @@
             self._listen()
             return
         self._stop_listening()
+        if link is Link.CUT_RESET:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LISTENER_OUTLIVES_S, self._close_ending)
+            return
+        self._close_ending()
         if link is Link.CUT_SILENT:
             self._fill_queue()
 
     def _listen(self) -> None:
         if self._listener is not None:
             return
+        self._close_ending()
         host, _, port = self.address.rpartition(":")
         self._listener = socket.create_server((host, int(port)))
         self._listener.setblocking(False)
@@ -113,8 +124,13 @@
         if self._listener is None:
             return
         asyncio.get_running_loop().remove_reader(self._listener)
-        self._listener.close()
-        self._listener = None
+        self._close_ending()
+        self._ending, self._listener = self._listener, None
+
+    def _close_ending(self) -> None:
+        if self._ending is not None:
+            self._ending.close()
+            self._ending = None
 
     def _accept(self, listener: socket.socket) -> None:
         # A client may have left between the event and this call.
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from soak.proxy import CUTS, FaultProxy, Link
+from soak.proxy import CUTS, LISTENER_OUTLIVES_S, FaultProxy, Link
 
 
 async def _echo(reader, writer):
@@ -47,10 +47,22 @@
             other.bind((host, int(port)))
 
 
+# The soak did not see that gateways took a server that had ended for alive.
+async def test_reset_ends_connections_before_the_listener():
+    async with FaultProxy() as proxy:
+        host, _, port = proxy.address.rpartition(":")
+        proxy.set_link(Link.CUT_RESET)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+
 @pytest.mark.parametrize("link", [Link.CUT_RESET, Link.CUT_NEW])
 async def test_cut_refuses_new_connections(link):
     async with FaultProxy() as proxy:
         proxy.set_link(link)
+        await asyncio.sleep(2 * LISTENER_OUTLIVES_S)
         with pytest.raises(ConnectionRefusedError):
             await _echoed(proxy.address)
 
