Check again when the listener of a process that ends resets a connection

What callers saw (radishmuxd): a server that a request had crashed could be taken for alive, so that the crash counted against the version and the request could crash a third server. Cause: is_process_gone tries three times whether the server refuses connections, but ended with "not gone" if a connection was reset while it opened. Change: such a reset is checked again.

--- a/src/radishmux/dispatch/cell_runtime.py
+++ b/src/radishmux/dispatch/cell_runtime.py
@@ -162,7 +162,7 @@
         if failure.refused:
             self._mark_down(backend)
             return False
-        if not await _is_process_gone(backend.server.address):
+        if not await is_process_gone(backend.server.address):
             return False
         self._mark_down(backend)
         digest = exchange.digest
@@ -280,7 +280,7 @@
         task.add_done_callback(self._tasks.discard)
 
 
-async def _is_process_gone(address: str) -> bool:
+async def is_process_gone(address: str) -> bool:
     """Returns whether connections to an address are refused."""
     host, _, port = address.rpartition(":")
     for check in range(_CONNECT_CHECKS):
@@ -293,6 +293,9 @@
                 )
         except ConnectionRefusedError:
             return True
+        except ConnectionResetError:
+            # The listener was closed after it had accepted the connection.
+            continue
         except (OSError, TimeoutError):
             return False
         with contextlib.suppress(OSError):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from radishmux.dispatch.cell_runtime import is_process_gone
 from radishmux.dispatch.crashes import (
     ONE_MARK_S,
     TWO_MARKS_S,
@@ -185,6 +186,20 @@
         )
 
 
+# A process that ended was taken for alive if its listener was closed while a
+# connection to it opened.
+async def test_process_that_resets_a_new_connection_is_checked_again(
+    monkeypatch,
+):
+    outcomes = [ConnectionResetError, ConnectionRefusedError]
+
+    async def connect(host, port):
+        raise outcomes.pop(0)
+
+    monkeypatch.setattr(asyncio, "open_connection", connect)
+    assert await is_process_gone("127.0.0.1:1")
+
+
 def _observations(nodes: list[Node]) -> list:
     return [
         observation
