--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -17,19 +17,20 @@
 
 
 class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
-    """How it works; POST /control sets these fields.
+    """How the server behaves; POST /control sets these fields.
 
     Attributes:
         work_ms: Time that a request takes.
-        slots: Requests at the same time; further ones are shed.
-        lose_answers: Coming requests whose answer is lost after they ran.
+        slots: Maximum number of concurrent requests; further ones are shed.
+        lose_answers: Number of the next requests that run and whose connection
+            is then reset in place of a response.
         limit_per_s: Requests per second from all instances together that the
             server names as its limit; None names none.
-        rest_s: Seconds of rest that it asks for as it turns every request
-            away; None turns none away.
-        leaving: Whether it says in its answers that it is about to leave.
-        hang_on: Part of the paths of requests that it begins to run and never
-            answers; empty: it answers all.
+        rest_s: Seconds of rest that the server asks for while it rejects every
+            request; None rejects none.
+        leaving: Whether the responses say that the server is about to leave.
+        hang_on: Requests whose path contains this begin to run and get no
+            response; empty: none.
     """
 
     work_ms: float = 5.0
@@ -71,7 +72,7 @@
         if headers.get("Target-Instance", self._name) != self._name:
             return web.Response(status=421, headers={"Instance-Id": self._name})
         rest_s = self._behaviour.rest_s
-        self._note_arrival(headers.get("Request-Id", ""))
+        self._record_arrival(headers.get("Request-Id", ""))
         if rest_s is not None:
             return web.Response(
                 status=503,
@@ -84,7 +85,7 @@
         self._running += 1
         try:
             body = await request.read()
-            self._note(request)
+            self._record_run(request)
             hang_on = self._behaviour.hang_on
             if hang_on and hang_on in request.path:
                 await asyncio.Event().wait()
@@ -106,7 +107,7 @@
         )
 
     def _needs(self) -> dict[str, str]:
-        """Returns the headers in which it says what it needs."""
+        """Returns the headers for the limit and for an imminent departure."""
         headers = {}
         if self._behaviour.limit_per_s is not None:
             headers["Server-Limit"] = f"{self._behaviour.limit_per_s}"
@@ -114,8 +115,8 @@
             headers["Server-Leaving"] = "1"
         return headers
 
-    def _note_arrival(self, request_id: str) -> None:
-        """Records that a request has come, and what its response will name."""
+    def _record_arrival(self, request_id: str) -> None:
+        """Records that a request has arrived, and what its response says."""
         behaviour = self._behaviour
         arrival = {
             "id": request_id,
@@ -129,7 +130,7 @@
             line = arrival | {"server": self._name}
             self._arrivals.write(msgspec.json.encode(line).decode() + "\n")
 
-    def _note(self, request: web.Request) -> None:
+    def _record_run(self, request: web.Request) -> None:
         """Records that a request begins to run."""
         headers = request.headers
         ran = {
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -27,13 +27,14 @@
 
     Attributes:
         down: "no", "hang", "reset" or "busy" (503).
-        lose_answers: Coming writes whose answer is lost after they took
-            effect.
-        compact: Whether the history is dropped now.
-        copy: Whether a copy of the state is made now.
-        restore_s: Seconds by which the store goes back to an older copy now; 0:
-            to the copy that was made with `copy`; negative: it does not.
-        rewrite: Whether what `/put` wrote since then is written again.
+        lose_answers: Number of the next writes that take effect and whose
+            connection is then reset in place of a response.
+        compact: Set to true: discards the history of changes now.
+        copy: Set to true: makes a copy of the state now.
+        restore_s: Restores a copy of the state that is at least this many
+            seconds old; 0 restores the one made by `copy`; negative: none.
+        rewrite: Whether writes of `/put` since that copy are repeated after the
+            restore.
     """
 
     down: str = "no"
