Test instances whose connections to servers open and stay silent

What callers see: as the users found on RECOVER, an instance whose new connections are accepted in the servers' place and then say nothing serves 0.00 of its first tries (one instance, or the three of a region), while the others serve 1.00. Cause, not mended here: a connection that is accepted counts as contact with the servers.

--- a/tests/gateway/test_cut_instances.py
+++ b/tests/gateway/test_cut_instances.py
@@ -64,6 +64,24 @@
     assert path == "/safe/1" or max(runs.values()) == 1
 
 
+# RECOVER: behind something that accepts connections in the servers' place, as
+# a forwarder does, contact counted as kept while no server answered.
+@pytest.mark.parametrize("path", ["/safe/1", "/unsafe/1"])
+@pytest.mark.parametrize("cut", [ONE, REGION], ids=["one", "region"])
+async def test_instances_with_silent_connections_serve_as_the_others_do(
+    tmp_path, cut, path
+):
+    async with run_cut_fleet(tmp_path) as cut_fleet:
+        await start_all(cut_fleet)
+        cut_fleet.set_links(cut, Link.SILENT)
+        await cut_fleet.load(BUSY_PER_S, CONTACT_S, path)
+        calls = await cut_fleet.load(BUSY_PER_S, 2.0, path)
+        runs = Counter(run["id"] for run in await cut_fleet.runs())
+    others = served_share(calls, GATEWAYS.keys() - set(cut))
+    assert served_share(calls, cut) >= MIN_RATIO * others
+    assert path == "/safe/1" or max(runs.values()) == 1
+
+
 # RECOVER: in a large fleet members learn through hubs who reaches servers.
 async def test_cut_members_and_hubs_of_a_large_fleet_serve(tmp_path):
     async with run_cut_fleet(tmp_path, full_mesh_max=2) as cut_fleet:
