Let servers of the soak crash while their faults are set

What callers saw: nothing. Change: the error is left out if the server has crashed meanwhile, and raised otherwise.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import aiohttp
+
 from radishmux.registry import Registry
 from soak.checks import CRASH, CUT
 from soak.crashing_caller import CrashingCaller
@@ -34,10 +36,16 @@
 SERVES_ON_S = 6.0
 
 
-async def _control(server: Server, **change: object) -> None:
-    """Sets faults of a server, unless it has crashed under a request."""
-    if server.standin is not None:
-        await server.standin.control(**change)
+async def control(server: Server, **change: object) -> None:
+    """Sets faults of a server, unless it crashes under a request."""
+    standin = server.standin
+    if standin is None:
+        return
+    try:
+        await standin.control(**change)
+    except aiohttp.ClientError:
+        if server.standin is standin:
+            raise
 
 
 class Injector:
@@ -247,7 +255,7 @@
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
             disruption = self._fleet.disrupt(fault.kind, server.name)
-            await _control(server, lose_answers=5)
+            await control(server, lose_answers=5)
             disruption.until = time.time() + 1.0
 
     @_INJECT.register("server_drain")
@@ -275,15 +283,15 @@
         """Lets a server say for a time what it needs."""
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
-            await _control(server, **{field: value})
+            await control(server, **{field: value})
             await asyncio.sleep(fault.for_s)
-            await _control(server, **{field: None})
+            await control(server, **{field: None})
 
     @_INJECT.register("server_leaving")
     async def _server_leaving(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
-            await _control(server, leaving=True)
+            await control(server, leaving=True)
             await asyncio.sleep(SERVES_ON_S)
             await self._fleet.stop_server(server)
             await asyncio.sleep(2.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,13 +5,16 @@
 import asyncio
 import pathlib
 import time
+import types
 
+import aiohttp
 import msgspec
 import pytest
 from rich.console import Console
 
 from soak.checks import CHECKS, CONTACT_S, CRASH, CUT, RECOVERY_S, violations
 from soak.faults import KINDS, Fault, Schedule, draw
+from soak.injector import control
 from soak.records import Act, Arrival, Call, Disruption, History, Run
 from soak.report import show
 from soak.run import Outcome, play
@@ -261,6 +264,29 @@
     assert "callers_leave" in text and "store_restored" in text
 
 
+# A run ended with an error, since a server crashed while its faults were set.
+async def test_faults_are_set_unless_the_server_crashes_meanwhile():
+    class Crashing:
+        def __init__(self, server):
+            self.server = server
+
+        async def control(self, **change):
+            self.server.standin = None
+            raise aiohttp.ServerDisconnectedError
+
+    class Broken:
+        async def control(self, **change):
+            raise aiohttp.ServerDisconnectedError
+
+    server = types.SimpleNamespace(standin=None)
+    await control(server, rest_s=1.0)
+    server.standin = Crashing(server)
+    await control(server, rest_s=1.0)
+    server.standin = Broken()
+    with pytest.raises(aiohttp.ServerDisconnectedError):
+        await control(server, rest_s=1.0)
+
+
 # GONE was broken once, and nothing told whether the proxies had stood still.
 async def test_run_records_when_it_stood_still():
     stalls = []
