--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,8 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "kit"))
+sys.path.insert(0, str(FOLDER.parent))
+sys.dont_write_bytecode = True
 
 import lab as kit  # noqa: E402
 
--- a/review/kit/lab.py
+++ b/review/lab.py
@@ -24,7 +24,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "hulo84.example"
 KEY = "s989anu6wsjnbanfqasn"
