Keep finalizers of test connections from failing the runner

Seen: "SystemError: AST constructor recursion depth mismatch" as pytest rewrote hypothesis, listed in KNOWN-RED.txt. Cause: a connection that a test left open is finalized after its event loop has closed, while ast.parse runs; its exception is formatted, which in Python 3.11 parses again, and the outer parse fails. Evidence: python -m pytest tests/gateway/test_http_client.py alone ended with the error 1 of 1, a module that uses its ScriptedServer 5 of 5, each time with StreamWriter.__del__ in the trace. Change: ScriptedServer closes its connections; conftest imports hypothesis before any test has run. After it: 0 of 2 with the connections closed; 0 of 3 with the early import alone.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,9 @@
 
 import pathlib
 
+# Imported before any test has run: a finalizer that raises while pytest parses
+# the modules of hypothesis makes Python 3.11 fail with a SystemError.
+import hypothesis  # noqa: F401
 import pytest
 
 _LIST = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -53,6 +53,7 @@
         self.scripts = list(scripts)
         self.requests = 0
         self.connections = 0
+        self._writers = []
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -62,9 +63,14 @@
 
     async def __aexit__(self, *exc):
         self.server.close()
+        # Their finalizers would raise once the event loop is closed.
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.append(writer)
         with contextlib.suppress(
             asyncio.IncompleteReadError, ConnectionError, IndexError
         ):
