Recognize crashing requests whose callers have left

Cause: the cancellation left GuardedSender.send before the server was checked, so that nobody marked the request. The same way led past the check at a deadline, in a response that breaks off, and ended a trial while its run went on. Change: the server of a request without a complete answer is observed until the deadline and 1 s more, by its open connections or a new one; its unplanned end marks the request, and a trial ends only then.

--- a/src/radishmux/dispatch/http_client.py
+++ b/src/radishmux/dispatch/http_client.py
@@ -7,6 +7,7 @@
 import math
 import random
 import socket
+import weakref
 from collections.abc import AsyncIterator, Callable
 
 from radishmux.clock import Clock
@@ -72,6 +73,9 @@
         self._clock = clock
         self._idle: list[ServerConnection] = []
         self._open_count = 0
+        # Connections that may be open.
+        self._watched: weakref.WeakSet[ServerConnection] = weakref.WeakSet()
+        self._broken = asyncio.Event()
         # Time limits of the attempts to connect in progress.
         self._connecting: set[asyncio.Timeout] = set()
 
@@ -122,6 +126,35 @@
                 return False
         return False
 
+    async def wait_broken(self, timeout_s: float) -> bool:
+        """Waits until a connection breaks, which may be the server's end.
+
+        If none is open, opens one, to be used by a later request.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+
+        Returns:
+            Whether a connection broke or no connection is open.
+        """
+        is_needed = not self._has_open and not self._connecting
+        if is_needed and await self.probe(timeout_s):
+            return True
+        broken = self._broken
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await broken.wait()
+                return True
+        return not self._has_open
+
+    def _on_broken(self) -> None:
+        broken, self._broken = self._broken, asyncio.Event()
+        broken.set()
+
+    @property
+    def _has_open(self) -> bool:
+        return any(connection.is_open for connection in self._watched)
+
     def give_up_connecting(self, within_s: float) -> None:
         """Lets the attempts to connect time out soon.
 
@@ -223,7 +256,10 @@
             async with asyncio.timeout(wait_s) as limit, self._tracked(limit):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
-                        self._clock, self._memory, self._probes_silence
+                        self._clock,
+                        self._memory,
+                        self._probes_silence,
+                        self._on_broken,
                     ),
                     self._host,
                     self._port,
@@ -238,6 +274,7 @@
                 return NotSent(f"connect:{reason}", connection_failed=True)
             raise
         self._on_connect("")
+        self._watched.add(connection)
         # Applies until the first response sets the time, so that a connection
         # whose request was not sent is kept.
         connection.idle_until = self._clock.now() + DEFAULT_KEEP_ALIVE_S
--- a/src/radishmux/dispatch/server_connection.py
+++ b/src/radishmux/dispatch/server_connection.py
@@ -55,6 +55,8 @@
         memory: Counts and limits the bytes of incomplete responses.
         use_tcp_keepalive: Whether the kernel probes the connection, so that it
             breaks within seconds when the server is no longer reachable.
+        on_broken: Called when the connection has ended and this side did not
+            close it.
 
     Attributes:
         idle_until: Monotonic time until which the idle connection may be
@@ -63,8 +65,14 @@
     """
 
     def __init__(
-        self, clock: Clock, memory: ResponseMemory, use_tcp_keepalive: bool
+        self,
+        clock: Clock,
+        memory: ResponseMemory,
+        use_tcp_keepalive: bool,
+        on_broken: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_broken = on_broken
+        self._is_closed_here = False
         self._clock = clock
         self._use_tcp_keepalive = use_tcp_keepalive
         self._memory = memory
@@ -90,14 +98,18 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection now."""
-        transport = self._transport
         return (
             self._reusable
-            and transport is not None
-            and not transport.is_closing()
+            and self.is_open
             and self._clock.now() < self.idle_until
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed the connection."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket options of the new connection."""
         # uvloop's transports are not subclasses of asyncio.Transport.
@@ -117,6 +129,8 @@
         A response without a length ends when the server closes the connection.
         """
         self._reusable = False
+        if not self._is_closed_here:
+            self._on_broken()
         if self._ends_at_eof and exc is None:
             self._complete()
             return
@@ -246,6 +260,7 @@
         The server can then stop working on the request.
         """
         self._reusable = False
+        self._is_closed_here = True
         self._discard_body()
         if self._transport is not None:
             self._transport.abort()
--- a/src/radishmux/gateway/crash_detector.py
+++ b/src/radishmux/gateway/crash_detector.py
@@ -13,6 +13,10 @@
 from radishmux.steer.server_contact import accepts_connections, probe_targets
 from radishmux.steer.servers import Server
 
+# Shortest time between two checks whether a server has ended. A server with too
+# many connections also closes new ones.
+MIN_CHECK_GAP_S = 0.25
+
 
 class CrashDetector:
     """Tells the end of a server from a broken connection and from a cut link.
@@ -61,6 +65,32 @@
             )
         return await asyncio.shield(task)
 
+    async def wait_ended(self, server: Server, until: float) -> float | None:
+        """Waits until a server ends without having said that it leaves.
+
+        Args:
+            server: The server.
+            until: Monotonic time until which to wait.
+
+        Returns:
+            The monotonic time at which it was found to have ended; None if it
+            has not, or if its end was planned.
+        """
+        while (left_s := until - self._clock.now()) > 0:
+            is_broken = await self._connections.wait_broken(server, left_s)
+            if self._has_left(server):
+                return None
+            if is_broken:
+                broken_at = self._clock.now()
+                if await self.has_ended(server, broken_at):
+                    return broken_at
+                await asyncio.sleep(MIN_CHECK_GAP_S)
+        return None
+
+    def _has_left(self, server: Server) -> bool:
+        known = self._fleet.servers.get(server.name)
+        return known is None or known.is_leaving or known.entry.draining
+
     async def _check(self, server: Server, broken_at: float) -> bool:
         if not await self._connections.is_refused(server):
             return False
--- a/src/radishmux/gateway/guarded_sender.py
+++ b/src/radishmux/gateway/guarded_sender.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Coroutine
+from typing import Any
 
 from radishmux.clock import Clock
 from radishmux.dispatch.crash_history import CrashVerdict
@@ -15,6 +17,14 @@
 from radishmux.gateway.crash_detector import CrashDetector
 from radishmux.gateway.crash_guard import CRASHES, CrashGuard
 from radishmux.gateway.sender import Attempt, ServerSender
+from radishmux.gateway.sent_request import SentRequest
+from radishmux.verdict import Verdict
+
+# Time after the deadline of a request until which its server may still run it:
+# its clock may be late, and so may the news of its end.
+OBSERVED_AFTER_S = 1.0
+# Requests without an answer whose servers are observed at the same time.
+MAX_OBSERVED = 1000
 
 
 class GuardedSender:
@@ -38,7 +48,9 @@
         self._guard = guard
         self._detector = detector
         self._clock = clock
-        self._checks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        # Number of requests without an answer whose servers are observed.
+        self._observed = 0
         # Number of checks in progress by digest.
         self._checking: Counter[str] = Counter()
 
@@ -63,24 +75,59 @@
             ):
                 return NotSent(CRASHES)
         attempt.obstacle = lambda: self._obstacle(attempt, on_trial)
-        sent_at = self._clock.now()
+        sent = SentRequest(attempt, self._clock.now(), on_trial)
         try:
             outcome = await self._sender.send(attempt)
-            if isinstance(outcome, ServerResponse):
-                self._guard.record_completed(attempt.digest, version)
-            elif outcome.connection_failed and not isinstance(outcome, NotSent):
-                self._checking[attempt.digest] += 1
-                # Goes on if the caller leaves or its deadline passes.
-                check = asyncio.create_task(self._check(attempt, sent_at))
-                self._checks.add(check)
-                check.add_done_callback(self._checks.discard)
-                if self._is_suspicious(attempt.digest):
-                    await asyncio.shield(check)
-        finally:
-            if on_trial:
-                self._guard.end_trial(attempt.digest, version)
+        except BaseException:
+            # The caller has left, or has an answer of another attempt.
+            self._leave(sent, attempt)
+            raise
+        if isinstance(outcome, ServerResponse):
+            self._guard.record_completed(attempt.digest, version)
+            self._end_trial(sent)
+        elif outcome.verdict is Verdict.NOT_RUN:
+            self._end_trial(sent)
+        elif outcome.connection_failed:
+            self._checking[sent.digest] += 1
+            # Goes on if the caller leaves or its deadline passes.
+            check = self._start(self._check(sent))
+            if self._is_suspicious(sent.digest):
+                await asyncio.shield(check)
+        else:
+            self._leave(sent, attempt)
         return outcome
 
+    def _leave(self, sent: SentRequest, attempt: Attempt) -> None:
+        """Goes on observing the server of a request that got no answer."""
+        if attempt.sent_at is None or self._observed >= MAX_OBSERVED:
+            self._end_trial(sent)
+            return
+        sent.sent_at = attempt.sent_at
+        until = max(attempt.deadline, self._clock.now()) + OBSERVED_AFTER_S
+        self._observed += 1
+        self._start(self._observe(sent, until))
+
+    async def _observe(self, sent: SentRequest, until: float) -> None:
+        """Marks a request if its server ends while it may still run it."""
+        try:
+            broken_at = await self._detector.wait_ended(sent.server, until)
+            if broken_at is not None:
+                await self._record_crash(sent, broken_at)
+        finally:
+            self._observed -= 1
+            self._end_trial(sent)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _end_trial(self, sent: SentRequest) -> None:
+        if sent.is_on_trial:
+            version = sent.server.entry.version
+            self._guard.end_trial(sent.digest, version)
+
     def _is_suspicious(self, digest: str) -> bool:
         """Whether the cause of a broken connection decides what comes next.
 
@@ -102,22 +149,24 @@
                 return CRASHES
         return ""
 
-    async def _check(self, attempt: Attempt, sent_at: float) -> None:
+    async def _check(self, sent: SentRequest) -> None:
         """Marks a request if the server that broke the connection has ended."""
-        server = attempt.choice.server
         broken_at = self._clock.now()
         try:
-            has_ended = await self._detector.has_ended(server, broken_at)
+            try:
+                has_ended = await self._detector.has_ended(
+                    sent.server, broken_at
+                )
+            finally:
+                self._checking[sent.digest] -= 1
+                if not self._checking[sent.digest]:
+                    del self._checking[sent.digest]
+            if has_ended:
+                await self._record_crash(sent, broken_at)
         finally:
-            self._checking[attempt.digest] -= 1
-            if not self._checking[attempt.digest]:
-                del self._checking[attempt.digest]
-        if has_ended:
-            subject = f"{server.entry.service} {attempt.customer}".rstrip()
-            await self._guard.record_crash(
-                attempt.digest,
-                f"{subject} {attempt.route.name}",
-                server,
-                sent_at,
-                broken_at,
-            )
+            self._end_trial(sent)
+
+    async def _record_crash(self, sent: SentRequest, broken_at: float) -> None:
+        await self._guard.record_crash(
+            sent.digest, sent.subject, sent.server, sent.sent_at, broken_at
+        )
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -43,6 +43,8 @@
             another crash is no evidence on the server's version.
         obstacle: Returns why the request must not be sent any more; empty if
             it may be.
+        sent_at: Monotonic time at which it was sent to the server; None if it
+            has not been.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "is_suspected",
         "obstacle",
         "route",
+        "sent_at",
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         self.digest = digest
         self.is_suspected = False
         self.obstacle: Callable[[], str] = lambda: ""
+        self.sent_at: float | None = None
         self.call = call
         self.route = route
         self.customer = customer
@@ -279,12 +283,20 @@
             attempt.deadline,
             call.method == "HEAD",
             lambda headers: self._dialect.is_response_to(call, headers),
-            # Much may have changed while a permit or a connection was awaited.
-            lambda: attempt.obstacle() or self._obstacle(call, server),
+            lambda: self._before_send(attempt, server),
         )
 
+    def _before_send(self, attempt: Attempt, server: Server) -> str:
+        """Returns why a request must not be sent now; empty if it is sent.
+
+        Much may have changed while a permit or a connection was awaited.
+        """
+        reason = attempt.obstacle() or self._obstacle(attempt.call, server)
+        if not reason:
+            attempt.sent_at = self._clock.now()
+        return reason
+
     def _obstacle(self, call: Call, server: Server) -> str:
-        """Returns why a request must not be sent now; empty if it may be."""
         if call.has_caller_left():
             return CALLER_LEFT
         state = self._placement.state_of(server)
--- a/src/radishmux/gateway/server_connections.py
+++ b/src/radishmux/gateway/server_connections.py
@@ -75,6 +75,10 @@
         """Returns whether a server's host answers that nothing listens."""
         return await self.pool(server).is_refused(PROBE_TIMEOUT_S)
 
+    async def wait_broken(self, server: Server, timeout_s: float) -> bool:
+        """Waits until a server may have ended; see `ServerConnectionPool`."""
+        return await self.pool(server).wait_broken(timeout_s)
+
     def give_up_connecting(self) -> None:
         """Ends all attempts to connect soon, which would fail later."""
         for pool in self._pools.values():
--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -129,10 +129,13 @@
                 at=time.monotonic(),
             )
         )
-        await asyncio.sleep(CRASH_AFTER_S)
         if request.path_qs not in self._fleet.harmless:
-            self.crash(request.path_qs)
+            # Also if the connection closes meanwhile.
+            asyncio.get_running_loop().call_later(
+                CRASH_AFTER_S, self.crash, request.path_qs
+            )
             await asyncio.Event().wait()
+        await asyncio.sleep(CRASH_AFTER_S)
         return await handler(request)
 
     def crash(self, target=""):
@@ -222,6 +225,17 @@
                 return response.status, response.headers.get("Retry-After")
         return 0, None
 
+    async def leave_early(self, gateway, target, method, wait_s):
+        """Sends a request whose caller waits only so long for its answer.
+
+        Returns:
+            Status and Retry-After, or 0 and None if the caller has left.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                return await self.request(gateway, target, method)
+        return 0, None
+
     async def send_crashing(self, target, seconds, method="GET", body=None):
         """Sends a crashing request each 0.3 to 0.5 s, at one gateway each.
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -10,7 +10,12 @@
 
 import pytest
 
-from tests.gateway.crashing_fleet import CONTACT_S, DOWN_S, run_crashing_fleet
+from tests.gateway.crashing_fleet import (
+    CONTACT_S,
+    CRASH_AFTER_S,
+    DOWN_S,
+    run_crashing_fleet,
+)
 from tests.gateway.fleet import config
 
 # The users' bound on the sends of a request after its third crash.
@@ -44,6 +49,29 @@
     assert float(retry_after) > 30.0
 
 
+# BUDGET: a crashing request whose caller has left before the crash was never
+# recognized, and crashed a server each time that it came.
+@pytest.mark.parametrize("target", [SAFE, UNSAFE])
+async def test_crashing_request_whose_caller_leaves_ends_three_servers(
+    tmp_path, target
+):
+    async with run_crashing_fleet(tmp_path) as fleet:
+        others = asyncio.create_task(fleet.send_others(14.0))
+        await asyncio.sleep(2.0)
+        for n in range(20):
+            await fleet.leave_early(
+                fleet.gateways[n % len(fleet.gateways)],
+                target,
+                METHODS[target],
+                CRASH_AFTER_S / 2,
+            )
+            await asyncio.sleep(0.5)
+        await others
+    crashed = len(fleet.crashed(target))
+    assert fleet.late_sends(target) <= MAX_LATE_SENDS, crashed
+    assert crashed <= MAX_CRASHED
+
+
 # BUDGET: instances that start, and those of a large fleet, know what others do.
 @pytest.mark.parametrize("full_mesh_max", [16, 2])
 async def test_crashing_request_stays_withheld_while_all_restart(
