Keep rolled back versions out of use after the next order

Cause: the verdict on a version was part of its order; the next order, a withdrawal or a restart dropped it. Evidence: the requests came at all instances until the bad servers drained. Change: verdicts are kept by version, by the store's revision (shift/verdicts); a later order of the same version begins anew. They travel with reports and are kept at radishmux/verdicts/; older builds ignore both, which a test shows.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -39,6 +39,7 @@
 from radishmux.gateway.sender import ServerSender
 from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.gateway.token_log import TokenLog
+from radishmux.gateway.verdict_archive import VerdictArchive
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.pipelined import MAX_HELD_BYTES, PipelinedServer
 from radishmux.http.response import Response
@@ -203,6 +204,15 @@
                 self._clock,
             )
         )
+        verdict_archive = await stack.enter_async_context(
+            VerdictArchive(
+                self._store,
+                keys.verdicts_key,
+                self._rollouts.verdicts,
+                lambda: self._instance_names().index(settings.instance),
+                self._clock,
+            )
+        )
         self._peers = Peers(self._record)
         bus = await stack.enter_async_context(
             PeerBus(
@@ -213,6 +223,7 @@
         )
         self._fleet.add_listener(self._on_event)
         self._fleet.add_listener(self._rollouts.on_event)
+        self._fleet.add_listener(verdict_archive.on_event)
         self._mirror = StoreMirror(
             self._store, keys.WATCHED_PREFIX, self._fleet, self._clock
         )
--- a/src/radishmux/gateway/events.py
+++ b/src/radishmux/gateway/events.py
@@ -10,6 +10,7 @@
 from radishmux.config.routing import RoutingConfiguration
 from radishmux.membership.record import InstanceRecord
 from radishmux.shift.orders import RolloutOrder, RolloutStatus
+from radishmux.shift.verdicts import Verdicts
 from radishmux.steer.servers import ServerEntry
 
 
@@ -71,6 +72,20 @@
     revision: int = 0
 
 
+class VerdictsPut(msgspec.Struct, frozen=True):
+    """The recorded verdicts on a service's versions have changed.
+
+    Attributes:
+        service: Name of the service.
+        verdicts: The verdicts; empty if none are recorded.
+        revision: Store revision of the change; 0 if the key does not exist.
+    """
+
+    service: str
+    verdicts: Verdicts
+    revision: int = 0
+
+
 class InstancePut(msgspec.Struct, frozen=True):
     """The record of an instance has changed.
 
@@ -134,6 +149,7 @@
     | EvacuationPut
     | RolloutPut
     | StatusPut
+    | VerdictsPut
     | InstancePut
     | CrashesPut
     | StoreListed
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -19,6 +19,7 @@
     ServerPut,
     StatusPut,
     StoreListed,
+    VerdictsPut,
 )
 from radishmux.membership.record import InstanceRecord
 from radishmux.registry import Registry
@@ -55,6 +56,7 @@
         self._instances: dict[str, InstanceRecord] = {}
         self._rollout_services: set[str] = set()
         self._status_services: set[str] = set()
+        self._verdict_services: set[str] = set()
         # Monotonic time until which a list withdraws no order and evacuation,
         # and those that a list lacked since the store was restored.
         self._restored_grace_until = -math.inf
@@ -111,7 +113,14 @@
             regions: Regions that may serve; empty means all.
             rule: Versions that may serve.
         """
-        key = (service, regions, rule.only, rule.never, rule.is_canary)
+        key = (
+            service,
+            regions,
+            rule.only,
+            rule.never,
+            rule.is_canary,
+            rule.rejected,
+        )
         cached = self._usable_cache.get(key)
         source = self._servers.of_service(service)
         if cached is not None and cached[0] is source:
@@ -242,6 +251,11 @@
             StatusPut(service, None)
             for service in self._status_services - statuses
         ]
+        verdicts = {e.service for e in present if isinstance(e, VerdictsPut)}
+        gone += [
+            VerdictsPut(service, {}, 0)
+            for service in self._verdict_services - verdicts
+        ]
         gone += [
             InstancePut(name, None) for name in self._instances.keys() - names
         ]
@@ -315,6 +329,14 @@
         else:
             self._status_services.add(event.service)
 
+    @_handlers.register(VerdictsPut)
+    def _on_verdicts(self, event: VerdictsPut, now: float) -> None:
+        """Notes which verdicts are recorded; the rollouts use them."""
+        if event.revision:
+            self._verdict_services.add(event.service)
+        else:
+            self._verdict_services.discard(event.service)
+
     @_handlers.register(InstancePut)
     def _on_instance(self, event: InstancePut, now: float) -> None:
         if event.record is None:
--- a/src/radishmux/gateway/gossip_state.py
+++ b/src/radishmux/gateway/gossip_state.py
@@ -35,6 +35,7 @@
 from radishmux.share.holder_demands import HolderDemand, HolderDemands
 from radishmux.share.holding import MovedHolding
 from radishmux.shift.evidence import Evidence, Tallies, Tally
+from radishmux.shift.verdicts import VersionVerdict
 from radishmux.store.mirror import StoreMirror
 
 # Prefix of a tally's source that stands for all instances of a region.
@@ -233,6 +234,16 @@
             vouches=audience is Audience.MEMBER,
             is_settled=self._is_settled,
             store_revision=self._mirror.revision,
+            rejected=[
+                messages.RejectedVersion(
+                    service_name=service,
+                    version=version,
+                    revision=verdict.revision,
+                )
+                for service, version, verdict in (
+                    self._rollouts.verdicts.rejections()
+                )
+            ],
             crashes=self._crash_guard.encode_records(
                 to_started=request is not None and not request.is_settled
             ),
@@ -309,6 +320,13 @@
             self._divide(now)
         self._crash_guard.apply_records(report.crashes or (), name)
         self._apply_rollouts(report, now)
+        for rejected in report.rejected or ():
+            if rejected.service_name and rejected.version and rejected.revision:
+                self._rollouts.record_verdict(
+                    rejected.service_name,
+                    rejected.version,
+                    VersionVerdict(rejected.revision, is_rejected=True),
+                )
         self._mirror.on_peer_revision(report.store_revision)
         if report.feed is not None:
             self._mirror.apply_feed(
--- a/src/radishmux/gateway/rollouts.py
+++ b/src/radishmux/gateway/rollouts.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 
 from radishmux.clock import Clock
-from radishmux.gateway.events import Event, RolloutPut, StatusPut
+from radishmux.gateway.events import (
+    Event,
+    RolloutPut,
+    StatusPut,
+    VerdictsPut,
+)
 from radishmux.outcome import Unavailable
 from radishmux.settings.gateway import Bounds
 from radishmux.shift.evidence import SLOW_FACTOR
@@ -13,9 +18,11 @@
 from radishmux.shift.rollout import (
     ANY_VERSION,
     SLACK_FRACTION,
+    Phase,
     Rollout,
     VersionRule,
 )
+from radishmux.shift.verdicts import VersionVerdict, VersionVerdicts
 from radishmux.store.interface import ObservableStore
 from radishmux.store.revision import era_of
 from radishmux.tasks import BackgroundTask, repeat
@@ -62,6 +69,7 @@
         self._instance = instance
         self._instance_names = instance_names
         self._clock = clock
+        self._verdicts = VersionVerdicts()
         self._rollouts: dict[str, Rollout] = {}
         self._orders: dict[str, RolloutPut] = {}
         self._statuses: dict[str, StatusPut] = {}
@@ -71,6 +79,11 @@
         # since when this instance has wanted it recorded.
         self._unrecorded_since: dict[str, tuple[RolloutStatus, float]] = {}
 
+    @property
+    def verdicts(self) -> VersionVerdicts:
+        """Verdicts on versions, also of earlier orders."""
+        return self._verdicts
+
     @property
     def active(self) -> dict[str, Rollout]:
         """Rollouts with an order, by service."""
@@ -84,7 +97,44 @@
             self._statuses[event.service] = event
             if event.status is not None and event.status.is_final:
                 self._final[event.service] = event.status
+            self._record_status(event)
             self._apply_status(event.service)
+        elif isinstance(event, VerdictsPut):
+            for version, verdict in event.verdicts.items():
+                self.record_verdict(event.service, version, verdict)
+
+    def record_verdict(
+        self, service: str, version: str, verdict: VersionVerdict
+    ) -> None:
+        """Records a verdict that another instance has passed on.
+
+        An instance that was cut off from the store may still carry out the
+        order of a version that was rolled back since.
+        """
+        if not self._verdicts.record(service, version, verdict):
+            return
+        state_change(
+            f"version {version} of {service}",
+            "rejected" if verdict.is_rejected else "ordered again",
+        )
+        rollout = self._rollouts.get(service)
+        if (
+            verdict.is_rejected
+            and rollout is not None
+            and rollout.order.version == version
+        ):
+            rollout.report_fault("rolled back by other instances")
+
+    def _record_status(self, event: StatusPut) -> None:
+        status = event.status
+        if status is None or not status.is_final:
+            return
+        is_rejected = status.state is RolloutState.ROLLED_BACK
+        self.record_verdict(
+            event.service,
+            status.version,
+            VersionVerdict(event.revision, is_rejected),
+        )
 
     def next_rule(self, service: str, route: str, now: float) -> VersionRule:
         """Returns the versions that may serve the next request; counts it.
@@ -94,13 +144,14 @@
             route: Name of the request's route.
             now: Monotonic seconds.
         """
+        rejected = self._verdicts.rejected(service)
         rollout = self._rollouts.get(service)
         if rollout is not None:
-            return rollout.next_rule(route, now)
+            return rollout.next_rule(route, now).excluding(rejected)
         status = self._final.get(service)
         if status is not None and status.state is RolloutState.ROLLED_BACK:
-            return VersionRule(never=status.version)
-        return ANY_VERSION
+            return VersionRule(never=status.version).excluding(rejected)
+        return ANY_VERSION.excluding(rejected)
 
     def record_outcome(
         self,
@@ -151,15 +202,23 @@
     def _on_order(self, event: RolloutPut, now: float) -> None:
         known = self._orders.get(event.service)
         if event.order is None:
+            self._record_stopped(event.service, now)
             self._orders.pop(event.service, None)
             self._rollouts.pop(event.service, None)
             return
         if known is not None and known.revision >= event.revision:
             return
-        self._orders[event.service] = event
         if known is not None and _is_same_order(known, event):
+            self._orders[event.service] = event
             self._apply_status(event.service)
             return
+        self._record_stopped(event.service, now)
+        self._orders[event.service] = event
+        self.record_verdict(
+            event.service,
+            event.order.version,
+            VersionVerdict(event.revision, is_rejected=False),
+        )
         self._final.pop(event.service, None)
         slack = SLACK_FRACTION * self._bounds.exposure_slack
         self._rollouts[event.service] = Rollout(
@@ -171,6 +230,20 @@
         )
         self._apply_status(event.service)
 
+    def _record_stopped(self, service: str, now: float) -> None:
+        """Records the verdict of an order that is about to end.
+
+        The store may not have taken its state yet.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is not None and rollout.phase(now) is Phase.STOPPED:
+            revision = self._orders[service].revision
+            self.record_verdict(
+                service,
+                rollout.order.version,
+                VersionVerdict(revision, is_rejected=True),
+            )
+
     def _apply_status(self, service: str) -> None:
         """Applies the recorded state to the rollout.
 
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -92,9 +92,8 @@
         )
         if choice is None and rule.only is not None:
             # No server of the rule's version can take the request.
-            fallback = VersionRule(never=rule.only)
             choice = self._choose_with_rule(
-                fallback, state, placement_request, may_use, now
+                rule.fallback(), state, placement_request, may_use, now
             )
         return choice
 
--- a/src/radishmux/peer/messages.py
+++ b/src/radishmux/peer/messages.py
@@ -36,6 +36,7 @@
 LoanReturn = _thrift.LoanReturn
 MemberState = _thrift.MemberState
 MovedHolding = _thrift.MovedHolding
+RejectedVersion = _thrift.RejectedVersion
 RelayOutcome = _thrift.RelayOutcome
 RelayRequest = _thrift.RelayRequest
 Release = _thrift.Release
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -192,6 +192,14 @@
   4: string fault,
 }
 
+// A version that an earlier order has rolled back.
+struct RejectedVersion {
+  1: string service_name,
+  2: string version,
+  // Revision of the store at which this was recorded.
+  3: i64 revision,
+}
+
 // Status of a member of the region that its hub reports as leaving or silent.
 // Members without either status are not listed.
 struct MemberState {
@@ -268,6 +276,7 @@
   15: bool cut_off = false,
   // Requests under which servers crashed.
   16: list<CrashRecord> crashes,
+  17: list<RejectedVersion> rejected,
 }
 
 // Requests tokens from a customer's token holder. The holder removes the granted
--- a/src/radishmux/platform/keys.py
+++ b/src/radishmux/platform/keys.py
@@ -17,6 +17,7 @@
     ServerPut,
     StatusPut,
     StoredCrashes,
+    VerdictsPut,
 )
 from radishmux.membership.record import InstanceRecord
 from radishmux.outcome import Unavailable
@@ -24,12 +25,15 @@
 from radishmux.platform.configuration import decode_configuration
 from radishmux.registry import Registry
 from radishmux.shift.orders import RolloutStatus
+from radishmux.shift.verdicts import Verdicts
 from radishmux.store.interface import KeyChange
 
 # Prefix of the keys at which instances store their own records.
 INSTANCES_PREFIX = "radishmux/instances/"
 # Prefix of the keys at which they store the requests that crash servers.
 CRASHES_PREFIX = "radishmux/crashes/"
+# Prefix of the keys at which they store the verdicts on a service's versions.
+VERDICTS_PREFIX = "radishmux/verdicts/"
 # The keys that an instance watches share no other prefix, so it watches the
 # whole store.
 WATCHED_PREFIX = ""
@@ -63,6 +67,11 @@
     return CRASHES_PREFIX + digest
 
 
+def verdicts_key(service: str) -> str:
+    """Returns the key of the verdicts on a service's versions."""
+    return VERDICTS_PREFIX + service
+
+
 def status_key(service: str) -> str:
     """Returns the key of the status of a service's rollout."""
     return documents.STATUS_PREFIX + service
@@ -155,3 +164,16 @@
         _log_problem(change, Unavailable(str(error)))
         return None
     return CrashesPut(digest, crashes)
+
+
+@_decoders.register(VERDICTS_PREFIX)
+def _decode_verdicts_change(service: str, change: KeyChange) -> Event | None:
+    if change.value is None:
+        return VerdictsPut(service, {})
+    try:
+        verdicts = msgspec.json.decode(change.value, type=Verdicts)
+    except (msgspec.DecodeError, RecursionError) as error:
+        _log_problem(change, Unavailable(str(error)))
+        # Known verdicts are written over it.
+        return VerdictsPut(service, {}, change.revision)
+    return VerdictsPut(service, verdicts, change.revision)
--- a/src/radishmux/shift/rollout.py
+++ b/src/radishmux/shift/rollout.py
@@ -78,23 +78,41 @@
             version.
         is_canary: Whether the request goes to the new version in the canary
             phase, in which only few servers get requests.
+        rejected: Versions that earlier orders have rolled back; they must not
+            serve the request either.
     """
 
-    __slots__ = ("is_canary", "never", "only")
+    __slots__ = ("is_canary", "never", "only", "rejected")
 
     def __init__(
         self,
         only: str | None = None,
         never: str | None = None,
         is_canary: bool = False,
+        rejected: frozenset[str] = frozenset(),
     ) -> None:
         self.only = only
         self.never = never
         self.is_canary = is_canary
+        self.rejected = rejected
+
+    def excluding(self, rejected: frozenset[str]) -> VersionRule:
+        """Returns the rule that also excludes rejected versions."""
+        if not rejected:
+            return self
+        return VersionRule(self.only, self.never, self.is_canary, rejected)
+
+    def fallback(self) -> VersionRule:
+        """Returns the rule if no server of the only version can serve."""
+        return VersionRule(never=self.only, rejected=self.rejected)
 
     def allows(self, version: str) -> bool:
         """Returns whether a server of this version may serve the request."""
-        return version != self.never and self.only in (None, version)
+        return (
+            version != self.never
+            and version not in self.rejected
+            and self.only in (None, version)
+        )
 
 
 ANY_VERSION = VersionRule()
--- a/tests/gateway/test_gossip_state.py
+++ b/tests/gateway/test_gossip_state.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import importlib.resources
+import io
 import itertools
 import math
 
 import pytest
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
 
 from radishmux.clock import ManualClock
 from radishmux.config.routing import CustomerPolicy
@@ -17,6 +22,7 @@
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.shift.orders import RolloutOrder
 from radishmux.shift.rollout import Rollout
+from radishmux.shift.verdicts import VersionVerdict, VersionVerdicts
 from tests.gateway import parts
 
 PERIOD_S = 0.5
@@ -33,11 +39,15 @@
 
 
 class Rollouts:
-    """Rollouts of an instance with a single order."""
+    """Rollouts of an instance with a single order, and earlier verdicts."""
 
     def __init__(self, instance):
         order = RolloutOrder("s", "v2", 30.0)
         self.active = {"s": Rollout(order, 0.1, 0.0, instance)}
+        self.verdicts = VersionVerdicts()
+
+    def record_verdict(self, service, version, verdict):
+        self.verdicts.record(service, version, verdict)
 
 
 class Node:
@@ -186,6 +196,44 @@
         assert node.rollouts.active["s"].fault == "it fails"
 
 
+# EXPOSURE: an instance that is cut off from the store learns from its peers
+# that the version of an earlier order was rolled back.
+@pytest.mark.parametrize("size", [10, 30])
+def test_rejected_version_is_known_everywhere(size):
+    fleet = Fleet(size)
+    fleet.rounds(2)
+    knowing = fleet.nodes[f"i{size - 1:02}"]
+    knowing.rollouts.record_verdict("s", "v1", VersionVerdict(7, True))
+    fleet.rounds(4)
+    for node in fleet.nodes.values():
+        assert node.rollouts.verdicts.rejected("s") == {"v1"}
+
+
+# Instances of two builds run side by side while the fleet is upgraded.
+def test_report_is_understood_by_a_build_without_rejected_versions():
+    path = importlib.resources.files("radishmux.peer") / "peer.thrift"
+    lines = path.read_text().splitlines()
+    old = "\n".join(one for one in lines if "RejectedVersion> " not in one)
+    assert len(old.splitlines()) == len(lines) - 1
+    thrift = thriftpy2.load_fp(io.StringIO(old), "old_build_thrift")
+    protocol = TCyBinaryProtocolFactory()
+    fleet = Fleet(2)
+    node = fleet.nodes["i00"]
+    node.rollouts.record_verdict("s", "v1", VersionVerdict(7, True))
+    report = node.gossip_state.build_report(Audience.HUB, MAX_AGE_S)
+    sent = messages.encode(messages.Envelope(body=messages.wrap(report)))
+    received = deserialize(thrift.Envelope(), sent, protocol)
+    assert received.body.fleet_report.instance == "i00"
+    # The other way round.
+    answer = messages.unwrap(
+        messages.decode(serialize(received, protocol)).body
+    )
+    other = fleet.nodes["i01"]
+    other.gossip_state.apply_report(answer, 1.0)
+    assert other.peers.is_heard("i00", fleet.clock.now())
+    assert not other.rollouts.verdicts.rejected("s")
+
+
 def test_dead_member_is_usable_for_nobody_in_its_region():
     """The users allow ContactS, which is 4 s, and 3 s more.
 
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -29,7 +29,6 @@
     server_entry,
 )
 from tests.gateway.parts import REGIONS
-from tests.standin_processes import standin
 
 TIMEOUT_S = 1.0
 ORDER = {"Service": "s", "TargetVersion": "v2", "DurationS": 60.0}
@@ -38,12 +37,6 @@
 IN_FORCE_S = 4.0
 
 
-@pytest.fixture
-async def platform_store():
-    async with standin("platform_store") as process:
-        yield process
-
-
 async def put(process, **documents):
     return await Fleet(process, {}, None).put(**documents)
 
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -23,6 +23,7 @@
 from radishmux.share.fleet_rate import FleetRates
 from radishmux.share.holders import TokenHolders
 from radishmux.share.server_limits import ServerLimits
+from radishmux.shift.verdicts import VersionVerdicts
 from radishmux.telemetry.metrics import Metrics
 from tests.gateway import parts
 from tests.gateway.virtual_network import Network, VirtualBus
@@ -41,6 +42,7 @@
 
 class _Rollouts:
     active = {}
+    verdicts = VersionVerdicts()
 
 
 class _Mirror:
