Recognize crashing requests on routes that are split or moved

Cause: the digest of a request contained the service that was drawn for it. Evidence: with the service in the digest the three new tests (split, moved, digest) fail. Change: the digest leaves the service out; marks name service and version, so that services judge apart. After the third crash two other services or versions at most try it, one a minute. test_trials_after_three_crashes_are_far_apart wanted no gap for another version; a full server that turns the trial away is a late send, too, so it wants the gap now. Marks are also kept under the digest of older builds, which run beside this one during an upgrade.

--- a/src/radishmux/dispatch/crash_history.py
+++ b/src/radishmux/dispatch/crash_history.py
@@ -24,6 +24,9 @@
 # Crashes one after the other from which on it is withheld, and for how long;
 # multiplied with each further one.
 MAX_CRASHES = 3
+# Further crashes until it is also withheld from servers whose software it has
+# not crashed: those of other services of its route, or of another version.
+MAX_OTHER_CRASHES = 2
 FIRST_WITHHOLD_S = 60.0
 WITHHOLD_FACTOR = 4.0
 MAX_WITHHOLD_S = 3600.0
@@ -55,7 +58,7 @@
 
     Attributes:
         server: Name and start of the server.
-        version: Version of the server's software.
+        version: Service and version of the server.
         at: Monotonic time of the crash.
         run_s: Time from the sending of the request until the crash.
         is_void: Whether a server of the version has completed the request
@@ -86,8 +89,8 @@
         digest: From `request_digest`.
         subject: Service, customer and route, for the logs.
         marks: By server.
-        cleared_versions: Versions whose servers have completed the request
-            since it had marks. Marks of other versions do not count for them.
+        cleared_versions: Services and versions whose servers have completed the
+            request since it had marks. Other marks do not count for them.
         changed_at: Monotonic time of the latest change.
     """
 
@@ -112,7 +115,11 @@
     def withheld_until(self, version: str) -> float:
         """Returns the end of the time without runs; -inf if there is none."""
         crashes, last_at = self._crashes_in_turn(version)
-        if crashes < MAX_CRASHES:
+        has_crashed = any(
+            mark.version == version for mark in self.marks_for(version)
+        )
+        others = 0 if has_crashed else MAX_OTHER_CRASHES
+        if crashes < MAX_CRASHES + others:
             return -math.inf
         factor = WITHHOLD_FACTOR ** (crashes - MAX_CRASHES)
         return last_at + min(MAX_WITHHOLD_S, FIRST_WITHHOLD_S * factor)
@@ -126,15 +133,10 @@
         return FIRST_WITHHOLD_S if crashes >= MAX_CRASHES else 0.0
 
     def _crashes_in_turn(self, version: str) -> tuple[int, float]:
-        """Returns how many servers crashed one after the other, and when last.
-
-        It is 0 for a version of which none has crashed, which gets a trial.
-        """
+        """Returns how many servers crashed in turn, and when the last one."""
         marks = self.marks_for(version)
         crashes = 0
         last_at = -math.inf
-        if all(mark.version != version for mark in marks):
-            return crashes, last_at
         for mark in sorted(marks, key=lambda mark: mark.at):
             if mark.at - mark.run_s >= last_at - ORDER_SLACK_S:
                 crashes += 1
--- a/src/radishmux/dispatch/request_digest.py
+++ b/src/radishmux/dispatch/request_digest.py
@@ -20,7 +20,8 @@
 
     Args:
         customer: Name of the customer; empty if the request needs no key.
-        service: Service that is to run the request.
+        service: Service that is to run the request; empty if the digest should
+            not depend on it.
         method: HTTP method.
         target: Path and query, with the host if the service has several.
         body: The body, or the part of a streamed one that is in memory.
--- a/src/radishmux/gateway/crash_guard.py
+++ b/src/radishmux/gateway/crash_guard.py
@@ -124,9 +124,39 @@
         return len(self._history.suspected())
 
     def decide(self, digest: str, version: str) -> CrashVerdict:
-        """Returns how a request may be sent to servers of a version."""
+        """Returns how a request may be sent to servers of certain software."""
         return self._history.decide(digest, version, self._clock.now())
 
+    def adopt(self, digest: str, service_digest: str, service: str) -> None:
+        """Adds what older builds know of a request to its record.
+
+        Instances of two builds run side by side while a fleet is upgraded.
+
+        Args:
+            digest: Digest of the request.
+            service_digest: Digest by which older builds know the request.
+            service: Service that is to run it.
+        """
+        known = self._history.get(service_digest)
+        if known is None:
+            return
+        self._history.merge(
+            digest,
+            known.subject,
+            [
+                CrashMark(
+                    mark.server,
+                    f"{service} {mark.version}",
+                    mark.at,
+                    mark.run_s,
+                    mark.is_void,
+                )
+                for mark in known.marks.values()
+            ],
+            [f"{service} {version}" for version in known.cleared_versions],
+            self._clock.now(),
+        )
+
     def is_marked(self, digest: str) -> bool:
         """Whether servers crashed under a request, and none completed it."""
         record = self._history.get(digest)
@@ -161,7 +191,7 @@
 
         Args:
             digest: Digest of the request.
-            version: Version of the server that is to run it.
+            version: Service and version of the server that is to run it.
             duration_s: Longest time of the run.
         """
         is_granted = await self._ask_arbiter(digest, version, duration_s)
@@ -173,9 +203,22 @@
         """Tells the arbiter that a run on trial has ended."""
         self._start(self._ask_arbiter(digest, version, 0.0))
 
-    def record_completed(self, digest: str, version: str) -> None:
-        """Records that a server has completed a request."""
+    def record_completed(
+        self, digest: str, server: Server, service_digest: str = ""
+    ) -> None:
+        """Records that a server has completed a request.
+
+        Args:
+            digest: Digest of the request.
+            server: The server.
+            service_digest: Digest by which older builds know the request.
+        """
         now = self._clock.now()
+        version = server.entry.software
+        if self._history.get(service_digest) is not None:
+            self._history.record_completed(
+                service_digest, server.entry.version, now
+            )
         if self._history.record_completed(digest, version, now):
             self._log(digest, _CLEARED, version=version)
             self._announce(is_suspect=False)
@@ -187,6 +230,7 @@
         server: Server,
         sent_at: float,
         broken_at: float,
+        service_digest: str = "",
     ) -> None:
         """Records that a server has ended while it had a request.
 
@@ -199,19 +243,20 @@
             server: The server.
             sent_at: Monotonic time at which the request was sent to it.
             broken_at: Monotonic time at which the connection broke.
+            service_digest: Digest by which older builds know the request.
         """
         entry = server.entry
         now = self._clock.now()
-        mark = CrashMark(
-            f"{entry.name}/{entry.started_ms}",
-            entry.version,
-            broken_at,
-            broken_at - sent_at,
-        )
+        name = f"{entry.name}/{entry.started_ms}"
+        run_s = broken_at - sent_at
+        mark = CrashMark(name, entry.software, broken_at, run_s)
         if not self._history.mark(digest, subject, mark, now):
             return
+        if service_digest:
+            mark = CrashMark(name, entry.version, broken_at, run_s)
+            self._history.mark(service_digest, subject, mark, now)
         self._metrics.count("gateway_crash_marks_total", service=entry.service)
-        verdict = self._history.decide(digest, entry.version, now)
+        verdict = self._history.decide(digest, entry.software, now)
         self._log(digest, _STATES[verdict], server=entry.name)
         record = self._history.get(digest)
         if record is not None and verdict is CrashVerdict.WITHHELD:
--- a/src/radishmux/gateway/guarded_sender.py
+++ b/src/radishmux/gateway/guarded_sender.py
@@ -62,7 +62,11 @@
             none; NotSent with the reason `CRASHES` if it must not run.
         """
         await self._guard.wait_informed()
-        version = attempt.choice.server.entry.version
+        server = attempt.choice.server
+        version = server.entry.software
+        self._guard.adopt(
+            attempt.digest, attempt.service_digest, server.entry.service
+        )
         verdict = self._guard.decide(attempt.digest, version)
         if verdict is CrashVerdict.WITHHELD:
             return NotSent(CRASHES)
@@ -83,7 +87,9 @@
             self._leave(sent, attempt)
             raise
         if isinstance(outcome, ServerResponse):
-            self._guard.record_completed(attempt.digest, version)
+            self._guard.record_completed(
+                attempt.digest, server, attempt.service_digest
+            )
             self._end_trial(sent)
         elif outcome.verdict is Verdict.NOT_RUN:
             self._end_trial(sent)
@@ -125,8 +131,7 @@
 
     def _end_trial(self, sent: SentRequest) -> None:
         if sent.is_on_trial:
-            version = sent.server.entry.version
-            self._guard.end_trial(sent.digest, version)
+            self._guard.end_trial(sent.digest, sent.server.entry.software)
 
     def _is_suspicious(self, digest: str) -> bool:
         """Whether the cause of a broken connection decides what comes next.
@@ -141,7 +146,7 @@
 
         Servers may have crashed while it waited for a connection.
         """
-        version = attempt.choice.server.entry.version
+        version = attempt.choice.server.entry.software
         match self._guard.decide(attempt.digest, version):
             case CrashVerdict.WITHHELD:
                 return CRASHES
@@ -168,5 +173,10 @@
 
     async def _record_crash(self, sent: SentRequest, broken_at: float) -> None:
         await self._guard.record_crash(
-            sent.digest, sent.subject, sent.server, sent.sent_at, broken_at
+            sent.digest,
+            sent.subject,
+            sent.server,
+            sent.sent_at,
+            broken_at,
+            sent.service_digest,
         )
--- a/src/radishmux/gateway/relay_service.py
+++ b/src/radishmux/gateway/relay_service.py
@@ -219,6 +219,7 @@
                     choice=choice,
                     deadline=state.deadline,
                     digest=state.digest,
+                    service_digest=state.service_digest,
                 )
             )
             if not isinstance(outcome, NotSent):
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -375,6 +375,7 @@
             choice=choice,
             deadline=state.deadline,
             digest=state.digest,
+            service_digest=state.service_digest,
         )
         return asyncio.create_task(self._attempt(state, attempt))
 
--- a/src/radishmux/gateway/request_state.py
+++ b/src/radishmux/gateway/request_state.py
@@ -23,7 +23,10 @@
         service: Service that was chosen among the route's destinations.
         regions: Regions that may serve it; empty means all.
         deadline: Monotonic time until which an answer is useful.
-        digest: The same for equal requests of the customer to the service.
+        digest: The same for equal requests of the customer, whichever service
+            is chosen for them.
+        service_digest: The same for equal requests of the customer to the
+            service; older builds know requests by it.
         tried_servers: Names of the servers that it was sent to, in order. An
             attempt through a helper stands there until its server is known.
         unavailable_servers: Names of the servers that must not get it now.
@@ -57,6 +60,7 @@
         "relayed_via",
         "route",
         "service",
+        "service_digest",
         "tried_servers",
         "unavailable_servers",
         "unused_retries",
@@ -80,13 +84,16 @@
             both = homes & self.regions if self.regions else homes
             self.regions = both or NO_REGION
         self.deadline = deadline
-        self.digest = request_digest(
-            customer.name if customer else "",
-            service,
-            call.method,
-            call.host + call.target,
-            call.body,
-            len(call.body),
+        self.digest, self.service_digest = (
+            request_digest(
+                customer.name if customer else "",
+                chosen,
+                call.method,
+                call.host + call.target,
+                call.body,
+                len(call.body),
+            )
+            for chosen in ("", service)
         )
         self.broken_servers: list[str] = []
         self.tried_servers: list[str] = []
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -39,6 +39,8 @@
         choice: The chosen server, with the expected times.
         deadline: Monotonic time until which an answer is useful.
         digest: The same for equal requests; see `request_digest`.
+        service_digest: The same for equal requests to the service; empty if
+            older builds need not recognize the request.
         is_suspected: Whether servers crashed under the request before, so that
             another crash is no evidence on the server's version.
         obstacle: Returns why the request must not be sent any more; empty if
@@ -57,6 +59,7 @@
         "obstacle",
         "route",
         "sent_at",
+        "service_digest",
     )
 
     def __init__(
@@ -68,8 +71,10 @@
         choice: Choice,
         deadline: float,
         digest: str,
+        service_digest: str = "",
     ) -> None:
         self.digest = digest
+        self.service_digest = service_digest
         self.is_suspected = False
         self.obstacle: Callable[[], str] = lambda: ""
         self.sent_at: float | None = None
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -128,7 +128,7 @@
         def may_use_unless_withheld(
             state: RequestState, server: Server, now: float
         ) -> bool:
-            verdict = self._guard.decide(state.digest, server.entry.version)
+            verdict = self._guard.decide(state.digest, server.entry.software)
             return verdict is not CrashVerdict.WITHHELD and may_use(
                 state, server, now
             )
@@ -151,7 +151,7 @@
         version that it may run on.
         """
         versions = {
-            server.entry.version
+            server.entry.software
             for server in self._fleet.servers.of_service(state.service)
         }
         return self._guard.withheld_s(state.digest, versions)
--- a/src/radishmux/steer/servers.py
+++ b/src/radishmux/steer/servers.py
@@ -48,6 +48,11 @@
     sequence: int = 0
     started_ms: int = 0
 
+    @property
+    def software(self) -> str:
+        """Service and version. Services may use the same names of versions."""
+        return f"{self.service} {self.version}"
+
 
 class Server:
     """A backend server as known to an instance.
--- a/tests/gateway/crashing_fleet.py
+++ b/tests/gateway/crashing_fleet.py
@@ -15,7 +15,7 @@
 from bench.fleet import free_addresses
 from soak.proxy import LISTENER_OUTLIVES_S
 from standins.platform_server import PlatformServerStandIn
-from tests.gateway.fleet import HOST, run_fleet, server_entry
+from tests.gateway.fleet import HOST, config, run_fleet, server_entry
 
 GATEWAYS = {"g0": "a-1", "g1": "a-1", "g2": "a-2", "g3": "b-1"}
 SERVER_DOMAINS = ("a-1", "a-2", "b-1")
@@ -59,8 +59,9 @@
     Requests whose path contains `/crash/` crash it.
     """
 
-    def __init__(self, name, domain, fleet):
+    def __init__(self, name, domain, service, fleet):
         self.name = name
+        self._service = service
         self._domain = domain
         self._fleet = fleet
         self._starts = 0
@@ -109,6 +110,7 @@
             **{
                 f"servers/{self.name}": server_entry(
                     self.address,
+                    Service=self._service,
                     Zone=self._domain,
                     Slots=SLOTS,
                     Version=self.version,
@@ -178,7 +180,7 @@
         answers: Status and gateway of other requests that have ended.
     """
 
-    def __init__(self, fleet, group):
+    def __init__(self, fleet, group, services=("s",)):
         self.fleet = fleet
         self.group = group
         self.is_ending = False
@@ -187,7 +189,12 @@
         self.harmless = set()
         self.answers = []
         self.servers = [
-            CrashingServer(f"i-{n}", SERVER_DOMAINS[n % 3], self)
+            CrashingServer(
+                f"i-{n}",
+                SERVER_DOMAINS[n % 3],
+                services[n // 3 % len(services)],
+                self,
+            )
             for n in range(SERVERS)
         ]
         self._numbers = itertools.count()
@@ -307,19 +314,37 @@
         return sum(status == 200 for status in chosen) / len(chosen)
 
 
+def split_config(services, version=2):
+    """Returns a configuration that splits all routes among services."""
+    document = config(version)
+    for rule in document["Listeners"][0]["Rules"]:
+        del rule["Action"]["Service"]
+        rule["Action"]["WeightedSplit"] = [
+            {"Service": name, "Weight": 10} for name in services
+        ]
+    document["Clusters"] = [
+        {"Name": name, "HealthPath": "/health"} for name in services
+    ]
+    return document
+
+
 @contextlib.asynccontextmanager
-async def run_crashing_fleet(folder, gateways=GATEWAYS, cut_off=(), **settings):
+async def run_crashing_fleet(
+    folder, gateways=GATEWAYS, cut_off=(), services=("s",), **settings
+):
     """Runs servers that can crash, and gateways, which are ready.
 
     Args:
         folder: Where settings and logs go.
         gateways: Failure domain of each gateway by name.
         cut_off: Names of the gateways that reach no server.
+        services: Services among which requests are split.
         settings: Further settings of the gateways.
     """
     async with run_fleet(folder, servers=0, store_listeners=2) as fleet:
         async with asyncio.TaskGroup() as group:
-            crashing_fleet = CrashingFleet(fleet, group)
+            await fleet.put(**{"op/config": split_config(services)})
+            crashing_fleet = CrashingFleet(fleet, group, services)
             for server in crashing_fleet.servers:
                 await server.start()
             dead = free_addresses(1)[0]
--- a/tests/gateway/test_abandoned_requests.py
+++ b/tests/gateway/test_abandoned_requests.py
@@ -27,6 +27,8 @@
 from tests.gateway.test_http_client import ScriptedServer, encode_response, send
 
 DEADLINE = 3.0
+# Service and version of the servers.
+SOFTWARE = "s v1"
 
 
 class Observer:
@@ -140,11 +142,11 @@
         server = parts.server(f"i-{n}")
         await guard.record_crash("d", "s c r", server, n, n + 0.1)
     sender = await leave(guard, observer, clock, "i-8")
-    assert not await guard.acquire_trial("d", "v1", 1.0)
+    assert not await guard.acquire_trial("d", SOFTWARE, 1.0)
     observer.ended.set()
     await settle()
     # Its third crash withholds the request.
-    assert guard.withheld_s("d", ["v1"]) > 0.0
+    assert guard.withheld_s("d", [SOFTWARE]) > 0.0
     assert sender
 
 
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -27,6 +27,8 @@
 MAX_LATE_SENDS = 3
 # Time from the start of the run to the end of its server.
 CRASH_AFTER_S = 0.06
+# Service and version of the servers.
+SOFTWARE = "s v1"
 TERMS = parts.customer(rate_per_s=0.0)
 SIZES = ((4, 3, 3), (14, 13, 13), (20, 20, 20))
 OK = ServerResponse(200, [], b"ok")
@@ -227,7 +229,7 @@
         *(servers.request(node, is_harmless=True) for node in nodes)
     )
     await asyncio.sleep(2.5)
-    verdicts = {node.crash_guard.decide("digest", "v1") for node in nodes}
+    verdicts = {node.crash_guard.decide("digest", SOFTWARE) for node in nodes}
     return outcomes, verdicts
 
 
@@ -272,12 +274,12 @@
         server = parts.server(f"i-{n}")
         await guard.record_crash("d", "s", server, n, n + 0.1)
     clock.advance(FIRST_WITHHOLD_S + 1.0)
-    assert await guard.acquire_trial("d", "v1", 2.0)
-    guard.end_trial("d", "v1")
+    assert await guard.acquire_trial("d", SOFTWARE, 2.0)
+    guard.end_trial("d", SOFTWARE)
     await asyncio.sleep(0)
-    assert not await guard.acquire_trial("d", "v1", 2.0)
+    assert not await guard.acquire_trial("d", SOFTWARE, 2.0)
     clock.advance(FIRST_WITHHOLD_S)
-    assert await guard.acquire_trial("d", "v1", 2.0)
+    assert await guard.acquire_trial("d", SOFTWARE, 2.0)
 
 
 @pytest.mark.parametrize(
@@ -330,3 +332,88 @@
     )
     await parts.guarded_sender(Sender(), clock, guard).send(attempt)
     assert obstacles == ["", CRASHES]
+
+
+def _server_of(service, number, version="v1"):
+    return parts.server(f"i-{number}", service=service, version=version)
+
+
+async def _crash_in_turn(guard, clock, servers, digest="d", **fields):
+    """Lets a request crash servers, and returns how many of them ran it."""
+    ran = 0
+    for server in servers:
+        clock.advance(CONTACT_S)
+        software = server.entry.software
+        if not await guard.acquire_trial(digest, software, 1.0):
+            continue
+        ran += 1
+        now = clock.now()
+        await guard.record_crash(digest, "s", server, now - 0.1, now, **fields)
+        guard.end_trial(digest, software)
+        await asyncio.sleep(0)
+    return ran
+
+
+# BUDGET: a request on a route that is split over three services crashed three
+# servers of each.
+@pytest.mark.parametrize("services", ["ab", "abc", "abcdef"])
+async def test_services_of_a_route_share_the_crashes_of_a_request(services):
+    clock = ManualClock(1.0)
+    guard = parts.crash_guard(clock)
+    servers = [_server_of(services[n % len(services)], n) for n in range(4 * 6)]
+    ran = await _crash_in_turn(guard, clock, servers)
+    assert ran <= 3 + MAX_LATE_SENDS
+
+
+# A fault of one service is not taken for one of all.
+async def test_service_that_completes_the_request_goes_on_with_it():
+    clock = ManualClock(1.0)
+    guard = parts.crash_guard(clock)
+    await _crash_in_turn(guard, clock, [_server_of("a", n) for n in range(3)])
+    assert guard.withheld_s("d", ["a v1"]) > 0.0
+    assert guard.decide("d", "b v1") is CrashVerdict.TRIAL
+    guard.record_completed("d", _server_of("b", 9))
+    assert guard.decide("d", "b v1") is CrashVerdict.FREE
+    assert guard.withheld_s("d", ["a v1"]) > 0.0
+
+
+# The version of one service says nothing of the equally named one of another.
+async def test_run_of_one_service_does_not_clear_another_one():
+    clock = ManualClock(1.0)
+    guard = parts.crash_guard(clock)
+    await _crash_in_turn(guard, clock, [_server_of("a", n) for n in range(2)])
+    guard.record_completed("d", _server_of("b", 9))
+    assert guard.decide("d", "a v1") is CrashVerdict.TRIAL
+
+
+# Instances of two builds run side by side while the fleet is upgraded: older
+# ones know a request by a digest that contains the service.
+async def test_crashes_that_an_older_build_reports_count():
+    clock = ManualClock(9.0)
+    guard = parts.crash_guard(clock)
+    marks = [
+        messages.CrashMark(
+            server=f"i-{n}/0",
+            version="v1",
+            age_ms=1000 * (3 - n),
+            run_ms=100,
+        )
+        for n in range(3)
+    ]
+    record = messages.CrashRecord(digest="old", subject="s", marks=marks)
+    guard.apply_records([record], "peer")
+    guard.adopt("d", "old", "s")
+    assert guard.withheld_s("d", [SOFTWARE]) > 0.0
+
+
+async def test_older_build_learns_of_crashes_and_of_their_end():
+    clock = ManualClock(9.0)
+    guard = parts.crash_guard(clock)
+    servers = [_server_of("s", n) for n in range(3)]
+    await _crash_in_turn(guard, clock, servers, service_digest="old")
+    told = {one.digest: one for one in guard.encode_records()}
+    assert {mark.version for mark in told["old"].marks} == {"v1"}
+    assert len(told["old"].marks) == len(told["d"].marks) == 3
+    guard.record_completed("d", servers[0], "old")
+    told = {one.digest: one for one in guard.encode_records()}
+    assert all(mark.is_void for mark in told["old"].marks)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -10,11 +10,13 @@
 
 import pytest
 
+from radishmux.dispatch.crash_history import MAX_OTHER_CRASHES
 from tests.gateway.crashing_fleet import (
     CONTACT_S,
     CRASH_AFTER_S,
     DOWN_S,
     run_crashing_fleet,
+    split_config,
 )
 from tests.gateway.fleet import config
 
@@ -72,6 +74,36 @@
     assert crashed <= MAX_CRASHED
 
 
+# BUDGET: a request on a route that is split over three services crashed three
+# servers of each.
+async def test_crashing_request_on_a_split_route_ends_few_servers(tmp_path):
+    services = ("s", "t", "u")
+    async with run_crashing_fleet(tmp_path, services=services) as fleet:
+        others = asyncio.create_task(fleet.send_others(20.0))
+        await asyncio.sleep(2.0)
+        await fleet.send_crashing(UNSAFE, 18.0, "POST")
+        await others
+    crashed = len(fleet.crashed(UNSAFE))
+    assert fleet.late_sends(UNSAFE) <= MAX_LATE_SENDS, crashed
+    assert crashed <= MAX_CRASHED + MAX_OTHER_CRASHES
+
+
+# BUDGET: a configuration that moves the route to another service ends nothing
+# of what is known, but lets that service try the request once.
+async def test_crashing_request_on_a_moved_route_ends_one_more_server(
+    tmp_path,
+):
+    async with run_crashing_fleet(tmp_path, services=("s", "t")) as fleet:
+        await fleet.put(**{"op/config": split_config(("s",), 3)})
+        await asyncio.sleep(1.0)
+        await fleet.send_crashing(SAFE, 4.0)
+        crashed_before = len(fleet.crashed(SAFE))
+        await fleet.put(**{"op/config": split_config(("t",), 4)})
+        await fleet.send_crashing(SAFE, 8.0)
+    assert crashed_before <= MAX_CRASHED
+    assert len(fleet.crashed(SAFE)) <= crashed_before + 1
+
+
 # BUDGET: instances that start, and those of a large fleet, know what others do.
 @pytest.mark.parametrize("full_mesh_max", [16, 2])
 async def test_crashing_request_stays_withheld_while_all_restart(
@@ -152,7 +184,7 @@
 # same request of another customer, is another request.
 async def test_crashing_request_with_a_streamed_body_is_recognized(tmp_path):
     async with run_crashing_fleet(tmp_path) as fleet:
-        document = config(2)
+        document = config(3)
         document["Tenants"].append({"Name": "t2", "ApiKeys": ["key2"]})
         await fleet.put(**{"op/config": document})
         await fleet.send_crashing(UNSAFE, 5.0, "POST", pieces)
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -36,7 +36,7 @@
 SHED = NoResponse("shed:503", Verdict.NOT_RUN)
 NOT_SENT = NotSent("limited")
 # Of the request that `send_request` sends.
-DIGEST = request_digest("", "s", "GET", "h.example/p/1", b"", 0)
+DIGEST = request_digest("", "", "GET", "h.example/p/1", b"", 0)
 LOST = NoResponse("connection_broken", Verdict.MAY_HAVE_RUN, True)
 
 
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -81,7 +81,8 @@
         assert not n or history.get(D).trial_gap_s("v1") == 0.0
         crash(history, f"i-{n}", float(n))
     assert history.get(D).trial_gap_s("v1") == FIRST_WITHHOLD_S
-    assert history.get(D).trial_gap_s("v2") == 0.0
+    # At most two more servers, of other versions or services, may run it then.
+    assert history.get(D).trial_gap_s("v2") == FIRST_WITHHOLD_S
 
 
 # Popular requests are on many servers that crash at the same moment.
--- a/tests/test_request_digest.py
+++ b/tests/test_request_digest.py
@@ -24,7 +24,6 @@
     "change",
     [
         {"customer": "d"},
-        # A configuration that moves the route ends what was known of it.
         {"service": "t"},
         {"method": "PUT"},
         {"target": "h.example/p/1?x=2"},
@@ -49,3 +48,31 @@
         state = RequestState(call, route, parts.customer(), "s", 1.0)
         digests.add(state.digest)
     assert len(digests) == 1
+
+
+def state_of(service, customer="c", method="GET", target="/p/1"):
+    call = dialect.read_call(parts.request(target, method=method))
+    route = parts.route(name=service, kind=RouteKind.UNSAFE)
+    return RequestState(call, route, parts.customer(customer), service, 1.0)
+
+
+# BUDGET: the service that was drawn for a request on a split route was part of
+# its digest, so that it was another request at each service.
+def test_request_is_the_same_whichever_service_is_chosen_for_it():
+    states = [state_of("s"), state_of("t")]
+    assert len({state.digest for state in states}) == 1
+    # Older builds know it by the service, too.
+    assert len({state.service_digest for state in states}) == 2
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"customer": "d"}, {"method": "POST"}, {"target": "/p/2"}],
+)
+def test_other_requests_of_a_split_route_stay_apart(change):
+    assert state_of("s").digest != state_of("t", **change).digest
+
+
+def test_older_builds_know_a_request_by_its_service():
+    known = request_digest("c", "s", "GET", "h.example/p/1", b"", 0)
+    assert state_of("s").service_digest == known
