Free the body of a request when it has ended

Gateways grow by the whole body with each upload, are killed at 300 MB, and cut the requests of all their callers. Cause: an attempt and its check for obstacles were a reference cycle, which only the rare garbage collector frees. Evidence: the ten tests of test_request_memory failed before the change; 80 uploads of 4 MiB took a daemon to 365 MB. Change: the check gets the digest and the software, and not the attempt.

--- a/src/radishmux/gateway/guarded_sender.py
+++ b/src/radishmux/gateway/guarded_sender.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from radishmux.clock import Clock
@@ -78,7 +79,10 @@
                 attempt.digest, version, left_s
             ):
                 return NotSent(CRASHES)
-        attempt.obstacle = lambda: self._obstacle(attempt, on_trial)
+        # Must not hold the attempt, which would be a cycle then.
+        attempt.obstacle = partial(
+            self._obstacle, attempt.digest, version, on_trial
+        )
         sent = SentRequest(attempt, self._clock.now(), on_trial)
         try:
             outcome = await self._sender.send(attempt)
@@ -141,13 +145,12 @@
         """
         return self._checking[digest] > 1 or self._guard.is_marked(digest)
 
-    def _obstacle(self, attempt: Attempt, on_trial: bool) -> str:
+    def _obstacle(self, digest: str, version: str, on_trial: bool) -> str:
         """Returns why a request must not be sent any more, or an empty string.
 
         Servers may have crashed while it waited for a connection.
         """
-        version = attempt.choice.server.entry.software
-        match self._guard.decide(attempt.digest, version):
+        match self._guard.decide(digest, version):
             case CrashVerdict.WITHHELD:
                 return CRASHES
             case CrashVerdict.TRIAL if not on_trial:
