Leave a version in use that is ordered while it serves

Seen: in a test, no run of callers. Cause: a roll-out takes for granted that another version can serve while the ordered one is tried. Evidence: test_order_of_the_version_that_serves_leaves_it_in_use failed before the change. Change: while no server of another version that may serve was seen since the order, requests go to any version that was not rolled back, and nothing is judged.

--- a/src/radishmux/gateway/rollouts.py
+++ b/src/radishmux/gateway/rollouts.py
@@ -8,6 +8,7 @@
 from radishmux.gateway.events import (
     Event,
     RolloutPut,
+    ServerPut,
     StatusPut,
     VerdictsPut,
 )
@@ -30,6 +31,8 @@
 
 STEP_PERIOD_S = 0.2
 CALL_TIMEOUT_S = 1.0
+# Phases in which other versions serve most requests.
+TRIED = frozenset({Phase.CANARY, Phase.RAMP})
 # Delay between the instances' attempts to write the same state, so that
 # usually only the first instance writes it.
 WRITE_STAGGER_S = 0.6
@@ -71,6 +74,8 @@
         self._clock = clock
         self._verdicts = VersionVerdicts()
         self._rollouts: dict[str, Rollout] = {}
+        # Service and version of each server, by its name.
+        self._software: dict[str, tuple[str, str]] = {}
         self._orders: dict[str, RolloutPut] = {}
         self._statuses: dict[str, StatusPut] = {}
         # Final states by service, also if the store has lost them.
@@ -99,6 +104,8 @@
                 self._final[event.service] = event.status
             self._record_status(event)
             self._apply_status(event.service)
+        elif isinstance(event, ServerPut):
+            self._on_server(event)
         elif isinstance(event, VerdictsPut):
             for version, verdict in event.verdicts.items():
                 self.record_verdict(event.service, version, verdict)
@@ -147,6 +154,8 @@
         rejected = self._verdicts.rejected(service)
         rollout = self._rollouts.get(service)
         if rollout is not None:
+            if rollout.phase(now) in TRIED and not rollout.is_needed(rejected):
+                return ANY_VERSION.excluding(rejected)
             return rollout.next_rule(route, now).excluding(rejected)
         status = self._final.get(service)
         if status is not None and status.state is RolloutState.ROLLED_BACK:
@@ -189,6 +198,10 @@
     def _evaluate(self, rollout: Rollout) -> None:
         if rollout.fault is not None:
             return
+        rejected = self._verdicts.rejected(rollout.order.service)
+        if not rollout.is_needed(rejected):
+            # There is no version to roll back to, and none to compare with.
+            return
         rollout.evaluate(self._clock.now())
         if rollout.fault is not None:
             order = rollout.order
@@ -199,6 +212,16 @@
                 reason=rollout.fault,
             )
 
+    def _on_server(self, event: ServerPut) -> None:
+        entry = event.entry
+        if entry is None:
+            self._software.pop(event.name, None)
+            return
+        self._software[event.name] = (entry.service, entry.version)
+        rollout = self._rollouts.get(entry.service)
+        if rollout is not None:
+            rollout.seen_versions.add(entry.version)
+
     def _on_order(self, event: RolloutPut, now: float) -> None:
         known = self._orders.get(event.service)
         if event.order is None:
@@ -228,6 +251,11 @@
             self._instance,
             slack / len(self._instance_names()),
         )
+        self._rollouts[event.service].seen_versions.update(
+            version
+            for service, version in self._software.values()
+            if service == event.service
+        )
         self._apply_status(event.service)
 
     def _record_stopped(self, service: str, now: float) -> None:
--- a/src/radishmux/shift/rollout.py
+++ b/src/radishmux/shift/rollout.py
@@ -129,6 +129,9 @@
         instance: Name of this instance.
         slack: Number of requests beyond that share that this instance may
             send to the new version.
+
+    Attributes:
+        seen_versions: Versions whose servers were seen since the order.
     """
 
     def __init__(
@@ -151,6 +154,7 @@
         self._new_requests = 0
         self._full_since: float | None = None
         self._credits: dict[str, float] = {}
+        self.seen_versions: set[str] = set()
 
     @property
     def order(self) -> RolloutOrder:
@@ -167,6 +171,17 @@
         """Description of the new version's fault, or None."""
         return self._fault
 
+    def is_needed(self, rejected: frozenset[str]) -> bool:
+        """Whether another version can serve while this one is tried.
+
+        There is none if the version serves already, such as after the one that
+        should have replaced it was rolled back.
+
+        Args:
+            rejected: Versions that earlier orders have rolled back.
+        """
+        return bool(self.seen_versions - rejected - {self._order.version})
+
     def elapsed_s(self, now: float) -> float:
         """Returns the seconds since the order was received."""
         return now - self._since
--- a/tests/gateway/test_rejected_versions.py
+++ b/tests/gateway/test_rejected_versions.py
@@ -14,7 +14,7 @@
 from radishmux.platform import keys
 from radishmux.shift.orders import RolloutState
 from radishmux.shift.verdicts import VersionVerdict
-from tests.gateway.fleet import config
+from tests.gateway.fleet import config, server_entry
 from tests.gateway.test_restored_store import (
     IN_FORCE_S,
     copy,
@@ -172,6 +172,51 @@
         assert allows(started.rollouts, BAD)
 
 
+# The operator may go back by an order of the version that serves. Most of its
+# requests went to the bad one, the only other version.
+async def test_order_of_the_version_that_serves_leaves_it_in_use(
+    platform_store,
+):
+    servers = {
+        f"servers/i-{version}": server_entry(
+            "127.0.0.1:9", Version=version, Service="s"
+        )
+        for version in ("v1", BAD)
+    }
+    await put(platform_store, **servers)
+    async with instance(platform_store) as follower:
+        await roll_back(platform_store, follower)
+        await order_next(platform_store, follower, "v1")
+        now = SystemClock().now()
+        rules = [follower.rollouts.next_rule("s", "r", now) for _ in range(100)]
+        assert all(rule.allows("v1") for rule in rules)
+        assert not any(rule.allows(BAD) for rule in rules)
+
+
+async def test_new_version_gets_few_requests_beside_the_one_that_serves(
+    platform_store,
+):
+    servers = {
+        f"servers/i-{version}": server_entry(
+            "127.0.0.1:9", Version=version, Service="s"
+        )
+        for version in ("v1", NEXT)
+    }
+    async with instance(platform_store) as follower:
+        await roll_back(platform_store, follower)
+        await order_next(platform_store, follower)
+        # Its servers and those before it become known after the order.
+        await put(platform_store, **servers)
+        rollouts = follower.rollouts
+        await eventually(
+            lambda: rollouts.active["s"].seen_versions == {"v1", NEXT}
+        )
+        now = SystemClock().now()
+        rules = [rollouts.next_rule("s", "r", now) for _ in range(100)]
+        assert 0 < sum(rule.allows(NEXT) for rule in rules) < 20
+        assert not any(rule.allows(BAD) for rule in rules)
+
+
 # An instance that was cut off from the store still carried out the order.
 async def test_verdict_of_a_peer_ends_the_own_rollout(platform_store):
     process = platform_store
