Let callers of the soak pipeline their requests

Seen: no seed of the soak showed that a planned stop cuts pipelined requests, since its callers send one at a time. Change: three callers keep three repeatable requests in flight each. The kept case pipelined-around-stops holds three stops.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -123,3 +123,14 @@
         finally:
             call.ended_at = time.time()
         return call.status > 0
+
+
+def encode_call(call: Call) -> bytes:
+    """Returns the bytes of a request without a body."""
+    method = "GET" if call.idempotent else "POST"
+    return (
+        f"{method} {call.path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"Request-Id: {call.id}\r\nApi-Key: {call.key}\r\n"
+        f"Deadline-Remaining: {round(DEADLINE_S * 1000)}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
--- a/soak/departing_callers.py
+++ b/soak/departing_callers.py
@@ -7,7 +7,7 @@
 import random
 import time
 
-from soak.callers import DEADLINE_S, HOST
+from soak.callers import encode_call
 from soak.faults import Fault
 from soak.records import Call, History
 from tests.departing_caller import LEAVE, DepartingCaller
@@ -56,7 +56,7 @@
         with contextlib.suppress(OSError):
             caller = DepartingCaller(self._gateway.caller)
             self._history.calls.extend(calls)
-            caller.send(b"".join(map(_encode, calls)))
+            caller.send(b"".join(map(encode_call, calls)))
             await asyncio.sleep(self._rng.choice(_STAY_S))
             self._leave(caller)
             for call in calls:
@@ -73,13 +73,3 @@
             path=path,
             sent_at=time.time(),
         )
-
-
-def _encode(call: Call) -> bytes:
-    method = "GET" if call.idempotent else "POST"
-    return (
-        f"{method} {call.path} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"Request-Id: {call.id}\r\nApi-Key: {call.key}\r\n"
-        f"Deadline-Remaining: {round(DEADLINE_S * 1000)}\r\n"
-        "Content-Length: 0\r\n\r\n"
-    ).encode()
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,10 +14,12 @@
 from soak.faults import Schedule
 from soak.fleet import RATES, SoakFleet
 from soak.injector import Injector
+from soak.pipelining_caller import PipeliningCaller
 from soak.records import History
 from soak.stall_monitor import StallMonitor
 
 CALLERS = 10
+PIPELINING_CALLERS = 3
 # Load after the faults and the users' time for recovery.
 CALM_S = 2.0
 
@@ -78,6 +80,18 @@
             )
             for n in range(CALLERS)
         ]
+        callers += [
+            asyncio.create_task(
+                PipeliningCaller(
+                    f"p{n}",
+                    random.Random(f"{schedule.seed}/p{n}"),
+                    lambda: fleet.callers_addresses,
+                    fleet.targets,
+                    history.calls,
+                ).run()
+            )
+            for n in range(PIPELINING_CALLERS)
+        ]
         await Injector(fleet, schedule).run()
         history.faults_end = time.time()
         await asyncio.sleep(recovery_s + CALM_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,7 @@
 # SIGHUP that came before the daemon handled it. leaving-through-helper: a cut
 # gateway did not read what a relayed response said of its server.
 # crashing-request: a request was sent 13 times after it had crashed 3 servers.
+# pipelined-around-stops: pipelined requests at servers were cut by a stop.
 CASES = sorted((pathlib.Path(__file__).parent / "soak_cases").glob("*.json"))
 
 
