--- a/tests/gateway/parts.py
+++ b/tests/gateway/parts.py
@@ -16,6 +16,7 @@
 from radishmux.http.incoming import IncomingRequest
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
+from radishmux.steer.placement import Choice
 from radishmux.steer.servers import Server, ServerEntry
 from radishmux.telemetry.metrics import Metrics
 
@@ -142,3 +143,18 @@
         (name.replace("_", "-"), value) for name, value in headers.items()
     ]
     return IncomingRequest(method, target, fields, b"", received_at)
+
+
+def choice(server):
+    """Returns the placement of an attempt at a server."""
+    return Choice(
+        server=server,
+        expected_s=0.1,
+        expected_cold_s=0.1,
+        work_s=0.1,
+        known_warm=False,
+        is_home=True,
+        is_queued=False,
+        load=0.0,
+        cost=0.1,
+    )
--- a/tests/gateway/test_abandoned_requests.py
+++ b/tests/gateway/test_abandoned_requests.py
@@ -21,7 +21,6 @@
 from radishmux.gateway.events import ServerPut
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.sender import Attempt
-from radishmux.steer.placement import Choice
 from radishmux.verdict import Verdict
 from tests.gateway import parts
 from tests.gateway.test_http_client import ScriptedServer, encode_response, send
@@ -59,17 +58,7 @@
         call=None,
         route=parts.route(),
         customer="c",
-        choice=Choice(
-            server=parts.server(server),
-            expected_s=0.1,
-            expected_cold_s=0.1,
-            work_s=0.1,
-            known_warm=False,
-            is_home=True,
-            is_queued=False,
-            load=0.0,
-            cost=0.1,
-        ),
+        choice=parts.choice(parts.server(server)),
         deadline=DEADLINE,
         digest="d",
     )
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -18,7 +18,6 @@
 from radishmux.gateway.guarded_sender import GuardedSender
 from radishmux.gateway.sender import Attempt
 from radishmux.peer import messages
-from radishmux.steer.placement import Choice
 from radishmux.verdict import Verdict
 from tests.gateway import parts, virtual_fleet, virtual_loop
 
@@ -35,20 +34,6 @@
 BROKEN = NoResponse("connection_broken", Verdict.MAY_HAVE_RUN, True)
 
 
-def _choice(server):
-    return Choice(
-        server=server,
-        expected_s=0.1,
-        expected_cold_s=0.1,
-        work_s=0.1,
-        known_warm=False,
-        is_home=True,
-        is_queued=False,
-        load=0.0,
-        cost=0.1,
-    )
-
-
 class CrashingServers:
     """Servers of three regions, which a request ends, and which come back.
 
@@ -79,7 +64,7 @@
                 call=None,
                 route=parts.route(),
                 customer="c",
-                choice=_choice(server),
+                choice=parts.choice(server),
                 deadline=self.fleet.loop.time() + 2.0,
                 digest="digest",
             )
@@ -326,7 +311,7 @@
         call=None,
         route=parts.route(),
         customer="",
-        choice=_choice(parts.server("i-9")),
+        choice=parts.choice(parts.server("i-9")),
         deadline=9.0,
         digest="digest",
     )
