--- a/soak/pipelining_caller.py
+++ b/soak/pipelining_caller.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import collections
-import random
 import time
-from collections.abc import Callable
 
-from soak.callers import DEADLINE_S, Target, encode_call
+from soak.callers import DEADLINE_S, Caller, encode_call
 from soak.records import Call
 
 # Requests in flight on one connection.
@@ -18,31 +16,8 @@
 _STAY = 40
 
 
-class PipeliningCaller:
-    """Keeps repeatable requests in flight until its connection ends.
-
-    Args:
-        name: Prefix of its request ids.
-        rng: Draws what it does.
-        gateways: Returns the addresses of the gateways by name.
-        targets: Returns what may be sent now.
-        calls: Takes a record of each request.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        rng: random.Random,
-        gateways: Callable[[], dict[str, str]],
-        targets: Callable[[], list[Target]],
-        calls: list[Call],
-    ) -> None:
-        self._name = name
-        self._rng = rng
-        self._gateways = gateways
-        self._targets = targets
-        self._calls = calls
-        self._number = 0
+class PipeliningCaller(Caller):
+    """Keeps repeatable requests in flight until its connection ends."""
 
     async def run(self) -> None:
         """Sends requests until it is cancelled."""
