Treat responses without a valid status as failures

Callers of radishmuxd got responses whose status is 000, 099, 600 or 999 as answers of a backend server; callers of the gateway got 600 and 999, and waited for their deadline at 000 and 099, which were skipped like interim responses. HTTP parsers accept any three digits.

--- a/src/radishmux/dispatch/attempt.py
+++ b/src/radishmux/dispatch/attempt.py
@@ -19,6 +19,7 @@
     IncompleteResponseError,
     RequestBody,
 )
+from radishmux.dispatch.server_response import is_valid_status
 from radishmux.dispatch.silence import SILENT_AFTER_S, ConnectionWatchdog
 from radishmux.verdict import Verdict
 
@@ -259,6 +260,9 @@
         if headers.get(_ATTEMPT_HEADER, attempt_id) != attempt_id:
             response.close()
             return Failure(Verdict.MAY_HAVE_RUN, "mismatched_response")
+        if not is_valid_status(response.status):
+            response.close()
+            return Failure(Verdict.MAY_HAVE_RUN, "malformed_response")
         if response.status == 503 and headers.get(_SHED_HEADER) == "1":
             await _drain_or_close(response)
             return Failure(Verdict.NOT_RUN, "shed")
--- a/src/radishmux/dispatch/server_connection.py
+++ b/src/radishmux/dispatch/server_connection.py
@@ -21,6 +21,7 @@
     Headers,
     NoResponse,
     ServerResponse,
+    is_valid_status,
 )
 from radishmux.verdict import Verdict
 
@@ -189,6 +190,10 @@
     def on_headers_complete(self) -> None:
         """Determines how the body ends; called by the parser."""
         status = self._parser.get_status_code()
+        if not is_valid_status(status):
+            # Also below 100, which is no interim response.
+            self.abort("malformed_response")
+            return
         if status < 200:
             return
         self._head_complete = True
--- a/src/radishmux/dispatch/server_response.py
+++ b/src/radishmux/dispatch/server_response.py
@@ -7,6 +7,15 @@
 
 Headers = list[tuple[str, str]]
 
+# Statuses that HTTP defines; parsers accept any three digits.
+MIN_STATUS = 100
+MAX_STATUS = 599
+
+
+def is_valid_status(status: int) -> bool:
+    """Returns whether a number is an HTTP status, final or interim."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
 
 class ServerResponse:
     """A complete response of a backend server.
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -138,6 +138,41 @@
     assert response.verdict is Verdict.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize("ending", ["reset", "close"])
+async def test_unframed_response_during_an_upload_is_not_complete(ending):
+    """Guards against partial responses that look complete.
+
+    A server responds while the request body is still being written, sends a
+    part of its response and gives the connection up. Closing a socket with
+    unread input resets the connection too.
+    """
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n"
+    body = b"x" * 8_000_000
+    request = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+    async with ScriptedServer([head, b"half", ending]) as server:
+        pool = ServerConnectionPool(server.address, SystemClock())
+        response = await pool.send(
+            [request % len(body), body], SystemClock().now() + 2.0
+        )
+        pool.close()
+    assert isinstance(response, NoResponse)
+    assert response.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+async def test_response_without_a_valid_status_is_a_failure(status):
+    """Guards against answers of failing servers whose status is no status.
+
+    The server keeps the connection open: the caller must not wait either.
+    """
+    response = encode_response(b"a").replace(b"200", status.encode())
+    async with ScriptedServer([response, "hang"]) as server:
+        outcome = await send(server)
+    assert isinstance(outcome, NoResponse)
+    assert outcome.reason == "malformed_response"
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+
+
 async def test_truncated_response_is_not_complete():
     half = encode_response(b"0123456789")[:-4]
     async with ScriptedServer([half, "close"]) as server:
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -137,3 +137,13 @@
     failure = await server.send()
     assert failure.refused
     assert failure.verdict is Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+async def test_response_without_a_valid_status_is_a_failure(server, status):
+    """Guards against answers of failing servers whose status is no status."""
+    server.responses = [OK.replace(b"200", status.encode())]
+    failure = await server.send()
+    assert isinstance(failure, Failure)
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.reason == "malformed_response"
