Start objects at a server of their region where there are many instances

Callers of large fleets waited for round trips between regions that they did not need, and the bytes were paid for. Each object is asked for in one region, but started at the first server of the whole fleet, two times of three in another region, and an instance moved it after four requests of its own: in a region of 20 instances it hardly ever saw as many.

In regions of eight instances or more objects now start at the first server of the region, as far as its servers have capacity; the others at the first server of the other regions, the same for all instances of the region. Smaller regions are as before.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -195,6 +195,9 @@
         self._cold_limiter = ColdRateLimiter(settings.instance)
         self._limits = ServerLimits()
         self._retry_budgets = RetryBudgets(settings.bounds)
+        self._placement = Placement(
+            settings.region, settings.failure_domain, settings.regions
+        )
         self._rollouts = await stack.enter_async_context(
             Rollouts(
                 self._store,
@@ -310,9 +313,7 @@
     ) -> None:
         """Starts the path of requests, the listeners and housekeeping."""
         settings, clock = self._settings, self._clock
-        placement = Placement(
-            settings.region, settings.failure_domain, settings.regions
-        )
+        placement = self._placement
         self._sender = ServerSender(
             self._fleet,
             placement,
@@ -496,6 +497,15 @@
         self._members = names
         self._cold_limiter.set_instances(names)
         self._retry_budgets.set_instances(len(names))
+        self._placement.set_region_instances(self._count_region(names))
+
+    def _count_region(self, names: frozenset[str]) -> int:
+        """Returns how many of the named instances are in the own region."""
+        records = self._peers.records
+        region = self._settings.region
+        return 1 + sum(
+            records[name].region == region for name in names if name in records
+        )
 
     async def _housekeeping(self) -> None:
         now = self._clock.now()
--- a/src/radishmux/steer/object_places.py
+++ b/src/radishmux/steer/object_places.py
@@ -1,13 +1,19 @@
 """Chooses the servers that handle each object for one instance; no I/O.
 
-All instances start with the same server for an object, the first one of the
-whole fleet by rendezvous hashing, so that one slow first request warms the
-object's cache entry for all instances. An instance then moves the objects that
-it uses often to a nearer server, the first one of its region. Each move costs
-one slow request and saves the longer round trip afterwards. Moves between
-regions are rate limited. Objects with large bodies or responses start in the
-instance's own failure domain, where the cost of bytes across failure domains
-outweighs a slow first request.
+All instances of a small region start with the same server for an object, the
+first one of the whole fleet by rendezvous hashing, so that one slow first
+request warms the object's cache entry for all instances. An instance then moves
+the objects that it uses often to a nearer server, the first one of its region.
+Each move costs one slow request and saves the longer round trip afterwards.
+Moves between regions are rate limited. Objects with large bodies or responses
+start in the instance's own failure domain, where the cost of bytes across
+failure domains outweighs a slow first request.
+
+In a region with many instances, each sees an object too rarely to find out that
+it is used often, so that most requests for objects that only this region uses
+would go to another region. There objects start at the first server of the
+region, as far as its servers have capacity for them. The others go to the first
+server of the other regions, the same for all instances of this region.
 
 Callers are assumed to be spread evenly over the failure domains; servers are
 not. A failure domain or region handles only as many objects as its servers have
@@ -33,6 +39,10 @@
 # first request costs about as much as the longer round trips of this many
 # requests.
 MOVE_AFTER_REQUESTS = 4
+# Number of instances in a region from which on objects start at a server of the
+# region. One request at an instance then stands for twice as many requests of
+# the region as a move to a nearer server pays off after.
+MANY_INSTANCES = 2 * MOVE_AFTER_REQUESTS
 # Number of servers that an instance sends one object to, in its own region and
 # in each other region.
 OWN_CANDIDATES = 2
@@ -148,6 +158,7 @@
         now: Monotonic seconds.
         regions: Region of each failure domain that has callers; None means
             the failure domains of the servers.
+        starts_in_region: Whether objects start at a server of this region.
     """
 
     def __init__(
@@ -156,10 +167,12 @@
         failure_domain: str,
         now: float,
         regions: dict[str, str] | None = None,
+        starts_in_region: bool = False,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
         self._regions = regions
+        self._starts_in_region = starts_in_region
         self._local_shares: tuple[Sequence[Server], tuple[float, float]] = (
             (),
             (1.0, 1.0),
@@ -179,10 +192,10 @@
         """
         place = self._places.get(key)
         if place is None:
-            is_large = transfer_bytes >= LARGE_BYTES
-            level = Level.DOMAIN if is_large else Level.FLEET
             place = ObjectPlace(
-                self._compute_homes(key, servers), servers, level
+                self._compute_homes(key, servers),
+                servers,
+                self._first_level(transfer_bytes),
             )
             self._places[key] = place
             if len(self._places) > MAX_OBJECTS:
@@ -262,6 +275,12 @@
         place.requests = place.consecutive_spillovers = 0
         return True
 
+    def _first_level(self, transfer_bytes: int) -> Level:
+        """Returns the level at which an object starts."""
+        if transfer_bytes >= LARGE_BYTES:
+            return Level.DOMAIN
+        return Level.REGION if self._starts_in_region else Level.FLEET
+
     def _next_level(self, place: ObjectPlace) -> Level | None:
         """Returns the next nearer level with another server, or None."""
         nearer = place.homes.by_level[Level.REGION]
@@ -280,7 +299,6 @@
         if self._local_shares[0] is not servers:
             self._local_shares = (servers, self._compute_local_shares(servers))
         ranks = {server.name: rank for rank, server in enumerate(ordered)}
-        fleet_home = ordered[0]
         counts: dict[str, int] = {}
         candidates: list[Server] = []
         for server in ordered:
@@ -289,15 +307,13 @@
             is_own = server.region == self._region
             if count < (OWN_CANDIDATES if is_own else OTHER_CANDIDATES):
                 candidates.append(server)
-        in_region, in_domain = self._compute_nearer_homes(
-            key, ordered, candidates
-        )
-        return Homes(
-            (fleet_home, in_region, in_domain), tuple(candidates), ranks
-        )
+        in_region, in_domain = self._compute_nearer_homes(key, ordered)
+        # Servers at which no object starts are not warm.
+        widest = in_region if self._starts_in_region else ordered[0]
+        return Homes((widest, in_region, in_domain), tuple(candidates), ranks)
 
     def _compute_nearer_homes(
-        self, key: int, ordered: list[Server], candidates: list[Server]
+        self, key: int, ordered: list[Server]
     ) -> tuple[Server, Server]:
         """Returns the homes of an object in the region and failure domain.
 
@@ -308,12 +324,14 @@
         )
         domain_share, region_share = self._local_shares[1]
         fleet_home = in_region = ordered[0]
-        if hash_fraction < region_share:
+        stays_in_region = hash_fraction < region_share
+        if stays_in_region or self._starts_in_region:
+            # Objects that the region lacks capacity for avoid its servers.
             in_region = next(
                 (
                     server
-                    for server in candidates
-                    if server.region == self._region
+                    for server in ordered
+                    if (server.region == self._region) is stays_in_region
                 ),
                 fleet_home,
             )
@@ -330,8 +348,8 @@
             ),
             in_region,
         )
-        if hash_fraction >= region_share and not stays:
-            in_domain = fleet_home
+        if not stays_in_region and not stays:
+            in_domain = in_region
         return in_region, in_domain
 
     def _compute_local_shares(
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -16,6 +16,7 @@
 from radishmux.steer.move_budget import SpilloverLimiter
 from radishmux.steer.object_places import (
     LOCALITY_SCALE_BYTES,
+    MANY_INSTANCES,
     Level,
     ObjectPlace,
     ObjectPlaces,
@@ -178,11 +179,19 @@
         self._region = region
         self._failure_domain = failure_domain
         self._regions = regions
+        self._region_instances = 1
         self._states: dict[str, ServerState] = {}
         self._work_times: dict[tuple[str, str], WorkTimes] = {}
         self._places: dict[str, ObjectPlaces] = {}
         self._spillover_limiters: dict[str, SpilloverLimiter] = {}
 
+    def set_region_instances(self, count: int) -> None:
+        """Sets the number of instances in the region of this instance.
+
+        Objects that are already placed stay where they are.
+        """
+        self._region_instances = count
+
     def state(self, name: str, started_ms: int = 0) -> ServerState:
         """Returns the observed state of a server.
 
@@ -274,7 +283,11 @@
         places = self._places.get(request.service)
         if places is None:
             places = ObjectPlaces(
-                self._region, self._failure_domain, now, self._regions
+                self._region,
+                self._failure_domain,
+                now,
+                self._regions,
+                self._region_instances >= MANY_INSTANCES,
             )
             self._places[request.service] = places
         place = places.place(request.key, servers, request.transfer_bytes)
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -172,6 +172,49 @@
         assert handled[domain] <= 1.35 * count * each, domain
 
 
+def test_objects_that_one_region_uses_run_there():
+    """Guards against requests that cross regions without need.
+
+    Each object is asked for in one region only. Its 20 instances see it too
+    rarely to move it nearer, so that two thirds of the requests went to the
+    object's first server in the whole fleet, in another region. Region a has a
+    tenth of the servers, but a third of the callers.
+    """
+    counts = {"a-1": 2, "a-2": 2, "b-1": 9, "b-2": 9, "c-1": 9, "c-2": 9}
+    records = tuple(
+        server(f"{domain}-{number}", domain)
+        for domain, count in counts.items()
+        for number in range(count)
+    )
+    handled = dict.fromkeys((record.name for record in records), 0)
+    objects = 1200
+    for region in "abc":
+        homes = []
+        for _ in range(2):
+            placement = Placement(region, f"{region}-1", REGIONS)
+            placement.set_region_instances(20)
+            requests = (
+                PlacementRequest("s", region, key, frozenset())
+                for key in range(objects)
+            )
+            homes.append(
+                [
+                    placement.choose(each, records, lambda _: True, 0.0).server
+                    for each in requests
+                ]
+            )
+        assert homes[0] == homes[1]
+        stay = sum(home.region == region for home in homes[0]) / objects
+        assert stay == 1.0 if region in "bc" else 0.25 < stay < 0.35
+        for home in homes[0]:
+            handled[home.name] += 1
+    regions = dict.fromkeys("abc", 0)
+    for record in records:
+        regions[record.region] += handled[record.name]
+    for region, slots in (("a", 4), ("b", 18), ("c", 18)):
+        assert regions[region] <= 1.1 * 3 * objects * slots / 40
+
+
 def test_lost_server_moves_only_its_own_objects():
     records = tuple(warm_server.record for warm_server in warm_servers())
     places = ObjectPlaces("a", "a-1", 0.0)
