Read headers and documents that gained a part

What callers saw: servers that report a fourth figure in Server-Load counted as idle, since the header was discarded as a whole; they were overloaded and shed. Cause: the header was read as exactly three figures.

Now any number of figures after the third is accepted. The fourth is the pace of the machine in percent and becomes LoadReport.pace (1.0: as usual, None: not said or invalid). Invalid: not a finite number, not above 0, above 10,000. The pace is not used yet.

The same fault elsewhere, mended: - Server-Limit, Retry-After, Server-Leaving, Deadline-Remaining: the first part before "," or ";" is read.

Looked at, no change needed: health answers are read in dispatch/probes.py only and ignore unknown fields; configuration, rollout, status, instance, crash and verdict documents ignore unknown fields.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -529,5 +529,5 @@
 
 def _relay_address(settings: GatewaySettings) -> str:
     """Returns the address for relayed requests; empty if no port is left."""
-    first, last = settings.listen.peer_ports
+    first, last = settings.listen.peer_ports[:2]
     return f"{settings.ip}:{last}" if last != first else ""
--- a/src/radishmux/platform/_records.py
+++ b/src/radishmux/platform/_records.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, TypeVar
 
 import msgspec
 
+# Separates the parts of a header's value.
+_PART_END = re.compile("[,;]")
+
 _T = TypeVar("_T", bound=msgspec.Struct)
 
 
@@ -59,6 +63,14 @@
     return record_type(**values)
 
 
+def first_part(value: str) -> str:
+    """Returns the first part of a header's value.
+
+    A newer build of the platform may append parts that are not known here.
+    """
+    return _PART_END.split(value, 1)[0].strip()
+
+
 def readable_items(
     raw: list[object], item_type: type, label: str, problems: list[str]
 ) -> list[Any]:
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -10,6 +10,7 @@
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
+from radishmux.platform._records import first_part
 from radishmux.steer.server_state import LoadReport
 from radishmux.verdict import Refusal, Verdict
 
@@ -29,6 +30,8 @@
 # this system may set them there.
 _RESERVED_HEADERS = frozenset({KEY, DEADLINE, TARGET, CUSTOMER})
 _MISDIRECTED_STATUS = 421
+# A larger pace is taken for an error of the server.
+_MAX_PACE_PERCENT = 10_000
 _TURNED_AWAY_STATUS = 503
 
 
@@ -48,7 +51,7 @@
         elif name == AFFINITY:
             affinity = value
         elif name == DEADLINE:
-            deadline_ms = _parse_number(value)
+            deadline_ms = _parse_number(first_part(value))
             if deadline_ms is None:
                 return Unavailable("deadline is no duration")
     if not host:
@@ -136,7 +139,7 @@
         load=_parse_load(response),
         limit_per_s=_parse_limit(response),
         rest_s=_parse_rest(response),
-        is_leaving=response.header(LEAVING) == "1",
+        is_leaving=first_part(response.header(LEAVING) or "") == "1",
     )
 
 
@@ -144,23 +147,33 @@
     value = response.header(LOAD)
     if value is None:
         return None
+    figures = value.split(",")
     try:
-        running, waiting, slots = (int(part) for part in value.split(","))
+        running, waiting, slots = (int(part) for part in figures[:3])
     except ValueError:
         return None
-    return LoadReport(running, waiting, slots)
+    pace = _parse_pace(figures[3]) if len(figures) > 3 else None
+    return LoadReport(running, waiting, slots, pace)
+
+
+def _parse_pace(percent: str) -> float | None:
+    """Returns the pace relative to the usual one, or None if invalid."""
+    number = _parse_number(percent)
+    if number is None or not 0 < number <= _MAX_PACE_PERCENT:
+        return None
+    return number / 100
 
 
 def _parse_limit(response: ServerResponse) -> float | None:
     value = response.header(LIMIT)
-    return math.inf if value is None else _parse_number(value)
+    return math.inf if value is None else _parse_number(first_part(value))
 
 
 def _parse_rest(response: ServerResponse) -> float:
     value = response.header(RETRY_AFTER)
     if value is None or response.status != _TURNED_AWAY_STATUS:
         return 0.0
-    return _parse_number(value) or 0.0
+    return _parse_number(first_part(value)) or 0.0
 
 
 def encode_answer(response: ServerResponse) -> Response:
--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -14,6 +14,7 @@
 from radishmux.dispatch.http_client import ServerConnectionPool
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
 from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
+from radishmux.platform._records import first_part
 from radishmux.store.interface import (
     Changes,
     Entry,
@@ -339,7 +340,7 @@
 
         A response without a readable era is taken for one of the latest era.
         """
-        text = reply.header(_ERA) or ""
+        text = first_part(reply.header(_ERA) or "")
         if not (text.isascii() and text.isdigit()) or int(text) > MAX_ERA:
             return True
         era = int(text)
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -24,14 +25,15 @@
         directory: Lookups of callers, which ask for the instance to use.
         peer_ports: First and last port available for peer connections: the
             first one takes messages, the last one relayed requests. Requests
-            are not relayed to this instance if they are the same.
+            are not relayed to this instance if they are the same. Further
+            numbers are ignored.
         metrics: Metrics for Prometheus; not served if empty.
     """
 
     caller: str
     ready: str
     directory: str
-    peer_ports: tuple[int, int]
+    peer_ports: Annotated[tuple[int, ...], msgspec.Meta(min_length=2)]
     metrics: str = ""
 
 
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -33,14 +33,23 @@
         running: Requests that the server is running.
         waiting: Requests in the server's queue.
         slots: Requests that the server can run concurrently.
+        pace: How long work takes on the machine now, relative to the usual
+            time; None if the server does not say.
     """
 
-    __slots__ = ("running", "slots", "waiting")
+    __slots__ = ("pace", "running", "slots", "waiting")
 
-    def __init__(self, running: int, waiting: int, slots: int) -> None:
+    def __init__(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        pace: float | None = None,
+    ) -> None:
         self.running = running
         self.waiting = waiting
         self.slots = slots
+        self.pace = pace
 
 
 class ServerState:
--- a/tests/gateway/test_dialect.py
+++ b/tests/gateway/test_dialect.py
@@ -93,6 +93,42 @@
     assert (load is not None) == (value == "3,1,6")
 
 
+# A header with a fourth figure was discarded, so that servers that told more
+# counted as idle.
+@pytest.mark.parametrize(
+    ("value", "pace"),
+    [
+        ("3,1,6", None),
+        ("3,1,6,100", 1.0),
+        ("3, 1, 6, 412.5", 4.125),
+        ("3,1,6,10000", 100.0),
+        ("3,1,6,100,17,x", 1.0),
+        *((f"3,1,6,{bad}", None) for bad in ("", "x", "nan", "inf", "1e9")),
+        *((f"3,1,6,{bad}", None) for bad in ("0", "-5", "10000.1")),
+    ],
+)
+def test_figures_after_the_third_never_invalidate_the_load(value, pace):
+    response = ServerResponse(200, [("server-load", value)], b"")
+    load = dialect.read_report(response).load
+    assert (load.running, load.waiting, load.slots) == (3, 1, 6)
+    assert load.pace == pace
+
+
+@pytest.mark.parametrize("rest", [",7", "; window=5", ", x"])
+def test_headers_that_gained_a_part_are_still_read(rest):
+    """Guards against limits, rests and departures that are missed."""
+    headers = [
+        ("server-limit", "4.4" + rest),
+        ("retry-after", "3" + rest),
+        ("server-leaving", "1" + rest),
+    ]
+    report = dialect.read_report(ServerResponse(503, headers, b""))
+    assert (report.limit_per_s, report.rest_s) == (4.4, 3.0)
+    assert report.is_leaving
+    request = parts.request("/p", deadline_remaining="1500" + rest)
+    assert dialect.read_call(request).remaining_s == 1.5
+
+
 @pytest.mark.parametrize(
     ("headers", "limit_per_s"),
     [
--- a/tests/gateway/test_documents.py
+++ b/tests/gateway/test_documents.py
@@ -322,6 +322,29 @@
         assert 0 <= found.cold_remaining_s < math.inf
 
 
+# One optional field of another type took a server out of use.
+@pytest.mark.parametrize(
+    ("field", "value", "slots"),
+    [
+        ("Slots", None, 1),
+        ("Sequence", "4/1", 6),
+        ("born", {"ms": 5}, 6),
+        ("ColdRemainingS", None, 6),
+        ("Pace", [100, 250], 6),
+    ],
+)
+def test_entry_whose_optional_field_changed_is_still_used(field, value, slots):
+    found = documents.decode_server("i-1", encode(SERVER | {field: value}))
+    assert (found.address, found.slots) == ("10.0.0.1:80", slots)
+
+
+@pytest.mark.parametrize("field", ["ColdRemainingS", "Version", "Slots"])
+def test_entry_without_a_readable_field_that_limits_use_is_not_used(field):
+    """Guards against too many requests to a cold server or a bad version."""
+    found = documents.decode_server("i-1", encode(SERVER | {field: ["x"]}))
+    assert isinstance(found, Unavailable)
+
+
 def test_unusable_document_takes_no_version_back():
     state = FleetState(keys.decode_event, {})
     state.on_change(KeyChange("op/config", encode(CONFIG), 1), 0.0)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -20,7 +20,7 @@
 from radishmux.settings.gateway import Bounds
 from radishmux.store.interface import Entry
 from radishmux.store.mirror import StoreMirror
-from radishmux.store.revision import number_of
+from radishmux.store.revision import era_of, number_of
 from tests.gateway.fleet import (
     Fleet,
     config,
@@ -413,3 +413,16 @@
     assert isinstance(earlier, Unknown)
     assert first == unreadable
     assert number_of(first.revision) == 7
+
+
+async def test_era_with_a_further_part_is_read():
+    """Guards against a restored store that is not noticed."""
+    item = {"Key": "a", "Value": "", "Revision": 7}
+    server = EraServer(("1, 3", item), ("2, 17", item), ("1, 9", item))
+    async with server.serving() as address:
+        async with PlatformStore(address, SystemClock()) as store:
+            first = await store.get("a", TIMEOUT_S)
+            second = await store.get("a", TIMEOUT_S)
+            earlier = await store.get("a", TIMEOUT_S)
+    assert era_of(second.revision) > era_of(first.revision) > 0
+    assert isinstance(earlier, Unknown)
