Place requests by the pace that servers report

What callers saw: late answers from servers on machines that work slowly for a moment, although the servers say so in each response. Cause: the pace was not used; it only showed, late, as slowness of the server.

ServerState keeps the latest pace for 0.3 s and a mean of the earlier ones. Work that outlasts the latest pace is expected to go on at the mean. The mean holds for 10 s without reports and then decays with a half-life of 30 s, so that a server that was slow is tried again. A report without a pace changes neither.

Placement expects round trip + work x pace + queue; the queue drains at the same pace. The ratio behind the measured slowness compares the duration with what was expected with the pace at sending, so the pace counts once. Work times are recorded at the usual pace, with the mean speed of start and end of the work. Servers that report no pace take the same path with the same figures as before.

Heavy tails: a long outcome counts in full in a server's slowness, and in the cold work time of a route, only if the one before it was long, too; alone it counts at most twice the expected time. A server that is slow for all requests is seen one outcome later than before. Thus also changed for fleets without the fourth figure: the first outcome above twice the expectation raises the slowness to 1.25 at most.

Lines of the decision log show the pace of an attempt if it is not the usual.

Tests: tests/steer and tests/gateway/test_request_flow.py pass.

--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -150,6 +150,7 @@
                     "home": choice.is_home,
                     "load": round(choice.load, 1),
                 }
+                | ({"pace": round(choice.pace, 2)} if choice.pace != 1 else {})
                 for choice in state.choices
             ]
             if state.broken_servers:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -466,8 +466,12 @@
             # The duration includes the wait in the queue.
             return
         round_trip_s = self._placement.round_trip_s(choice.server)
+        work_s = max(0.001, duration_s - round_trip_s)
+        # Speed during the work: the mean of those at its start and its end.
+        usual_s = max(0.001, choice.work_s / choice.pace)
+        speed_at_end = usual_s / server_state.paced_s(usual_s, now)
         work.record_work(
-            max(0.001, duration_s - round_trip_s),
+            work_s * (1.0 / choice.pace + speed_at_end) / 2,
             choice.known_warm,
             choice.is_home,
         )
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -119,6 +119,8 @@
             instance, or the request has no object.
         is_home: Whether the server is one of the object's homes.
         is_queued: Whether the request is expected to wait in a queue.
+        pace: Expected duration of the work relative to the one at the usual
+            pace of the machine.
         load: Estimated number of requests at the server.
         cost: Expected cost in seconds; the lowest cost is chosen.
     """
@@ -130,6 +132,7 @@
         "is_queued",
         "known_warm",
         "load",
+        "pace",
         "server",
         "expected_cold_s",
         "work_s",
@@ -147,6 +150,7 @@
         is_queued: bool,
         load: float,
         cost: float,
+        pace: float = 1.0,
     ) -> None:
         self.server = server
         self.expected_s = expected_s
@@ -156,6 +160,7 @@
         self.is_home = is_home
         self.is_queued = is_queued
         self.load = load
+        self.pace = pace
         self.cost = cost
 
 
@@ -389,6 +394,13 @@
         # Queued requests are usually on servers where their objects are warm or
         # become warm.
         wait_s = queued * work.warm_s * QUEUED_WORK_FACTOR * slowness / slots
+        pace = 1.0
+        if state.reports_pace:
+            usual_s = work_s
+            until_done_s = state.paced_s(wait_s + work_s, now)
+            wait_s = state.paced_s(wait_s, now)
+            work_s = until_done_s - wait_s
+            pace = work_s / usual_s
         expected_s = self.round_trip_s(server) + work_s + wait_s
         busy = (load + 1) / slots
         if place is None or is_home:
@@ -413,13 +425,14 @@
         return Choice(
             server=server,
             expected_s=expected_s,
-            expected_cold_s=expected_s + work.cold_s - work_s,
+            expected_cold_s=expected_s + work.cold_s * pace - work_s,
             work_s=work_s,
             known_warm=known_warm,
             is_home=is_home,
             is_queued=queued > 0,
             load=load,
             cost=cost,
+            pace=pace,
         )
 
 
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -11,6 +11,20 @@
 # Time constant of that average, and its half-life without new reports.
 MEAN_LOAD_S = 2.0
 MEAN_LOAD_HALF_LIFE_S = 6.0
+# Time for which the latest pace counts, since it changes every few hundred
+# milliseconds. After that, the mean of earlier reports is used.
+PACE_VALID_S = 0.3
+# Time constant of that mean, and the largest weight of one report in it.
+MEAN_PACE_S = 3.0
+MAX_PACE_WEIGHT = 0.2
+# Time for which the mean holds without new reports, and its half-life after
+# that, so that a server that was slow is tried again.
+MEAN_PACE_VALID_S = 10.0
+MEAN_PACE_HALF_LIFE_S = 30.0
+# Ratio of actual to expected duration up to which one outcome alone counts. A
+# longer one counts in full only if the outcome before it was long, too, since
+# some requests take long on any server.
+MAX_LONE_RATIO = 2.0
 # Half-lives of slowness and failures; a server is used again after a few.
 SLOWNESS_HALF_LIFE_S = 4.0
 FAILURE_HALF_LIFE_S = 3.0
@@ -69,11 +83,15 @@
         "_failure_share_at",
         "_before_failures",
         "_consecutive_failures",
+        "_last_ratio",
         "_mean_other_load",
+        "_mean_pace",
         "_objects",
         "_on_trial",
         "_other_load",
         "_other_load_at",
+        "_pace",
+        "_pace_at",
         "_slowness",
         "_slowness_at",
         "in_flight",
@@ -93,8 +111,12 @@
         self._other_load = 0.0
         self._mean_other_load = 0.0
         self._other_load_at = -math.inf
+        self._pace = 1.0
+        self._mean_pace = 1.0
+        self._pace_at = -math.inf
         self._slowness = 1.0
         self._slowness_at = 0.0
+        self._last_ratio = 1.0
         self._failure_share = 0.0
         self._failure_share_at = 0.0
         self._consecutive_failures = 0
@@ -115,6 +137,11 @@
         """Whether no response has shown yet that a rest has ended."""
         return self._on_trial
 
+    @property
+    def reports_pace(self) -> bool:
+        """Whether the server has reported its pace."""
+        return self._pace_at > -math.inf
+
     def is_available(self, now: float) -> bool:
         """Returns whether the server may get a request.
 
@@ -139,6 +166,27 @@
         other_load = (1.0 - weight) * self._other_load + weight * mean
         return self.in_flight + other_load
 
+    def paced_s(self, work_s: float, now: float) -> float:
+        """Returns how long work takes on the server at its reported pace.
+
+        The latest pace applies to the part that is done while the report is
+        valid, the mean pace to the rest.
+
+        Args:
+            work_s: Time that the work takes at the usual pace.
+            now: Monotonic seconds.
+        """
+        if not self.reports_pace:
+            return work_s
+        age_s = now - self._pace_at
+        valid_s = PACE_VALID_S - age_s
+        if work_s * self._pace <= valid_s:
+            return work_s * self._pace
+        mean_pace = self._decayed_mean_pace(age_s)
+        if valid_s <= 0:
+            return work_s * mean_pace
+        return valid_s + (work_s - valid_s / self._pace) * mean_pace
+
     def slowness(self, now: float) -> float:
         """Returns how many times longer than usual requests take, from 1."""
         decay = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
@@ -173,6 +221,21 @@
             self._other_load - self._mean_other_load
         )
         self._other_load_at = now
+        if report.pace is not None:
+            self._apply_pace(report.pace, now)
+
+    def _apply_pace(self, pace: float, now: float) -> None:
+        age_s = min(1e3, now - self._pace_at)
+        mean_pace = self._decayed_mean_pace(age_s)
+        weight = min(MAX_PACE_WEIGHT, 1.0 - math.exp(-age_s / MEAN_PACE_S))
+        self._mean_pace = mean_pace + weight * (pace - mean_pace)
+        self._pace = pace
+        self._pace_at = now
+
+    def _decayed_mean_pace(self, age_s: float) -> float:
+        outdated_s = max(0.0, age_s - MEAN_PACE_VALID_S)
+        decay = 0.5 ** (outdated_s / MEAN_PACE_HALF_LIFE_S)
+        return 1.0 + (self._mean_pace - 1.0) * decay
 
     def record_response(
         self, ratio: float, key: int | None, now: float
@@ -180,13 +243,16 @@
         """Records a response, or the time waited for one that did not arrive.
 
         Args:
-            ratio: Actual duration relative to the expected duration.
+            ratio: Actual duration relative to the duration that was expected
+                with the pace at the time of sending.
             key: Object that the server has handled and keeps warm, if any.
             now: Monotonic seconds.
         """
         slowness = self.slowness(now)
+        bounded = min(ratio, max(MAX_LONE_RATIO, self._last_ratio))
+        self._last_ratio = ratio
         self._slowness = max(
-            1.0, slowness + _OUTCOME_WEIGHT * (ratio - slowness)
+            1.0, slowness + _OUTCOME_WEIGHT * (bounded - slowness)
         )
         self._slowness_at = now
         self._update_failure_share(0.0, now)
--- a/src/radishmux/steer/work_times.py
+++ b/src/radishmux/steer/work_times.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from radishmux.steer.server_state import MAX_LONE_RATIO
+
 # Work time assumed before the first measurement.
 INITIAL_WORK_S = 0.3
 # Ratio of warm to cold work time assumed before the first measurements.
@@ -19,7 +21,8 @@
 class WorkTimes:
     """Mean work times and response sizes.
 
-    The times exclude the round trip and the wait in a queue.
+    The times exclude the round trip and the wait in a queue, and are those at
+    the usual pace of the machines.
 
     Attributes:
         warm_s: Mean work time for objects that are warm at the server.
@@ -30,6 +33,7 @@
     """
 
     __slots__ = (
+        "_last_cold_s",
         "_response_bytes",
         "cold_s",
         "home_warm_chance",
@@ -41,6 +45,7 @@
         self.cold_s = INITIAL_WORK_S
         self.warm_s = INITIAL_WORK_S * INITIAL_WARM_RATIO
         self.mean_s = self.cold_s
+        self._last_cold_s = self.cold_s
         self.home_warm_chance = INITIAL_HOME_WARM_CHANCE
         self._response_bytes: float | None = None
 
@@ -81,7 +86,8 @@
         """Records the work time of a request that did not wait in a queue.
 
         Args:
-            work_s: Duration without the round trip, in seconds.
+            work_s: Duration at the usual pace without the round trip, in
+                seconds.
             known_warm: Whether the object was known to be warm at the server.
             is_home: Whether the server is a home of the object.
         """
@@ -96,7 +102,15 @@
                 was_warm - self.home_warm_chance
             )
             if not was_warm:
-                self.cold_s += _SAMPLE_WEIGHT * (work_s - self.cold_s)
+                self._record_cold(work_s)
         else:
-            self.cold_s += _SAMPLE_WEIGHT * (work_s - self.cold_s)
+            self._record_cold(work_s)
         self.cold_s = max(self.cold_s, self.warm_s)
+
+    def _record_cold(self, work_s: float) -> None:
+        """Records a cold work time; one long request alone counts little."""
+        bounded_s = min(
+            work_s, max(MAX_LONE_RATIO * self.cold_s, self._last_cold_s)
+        )
+        self._last_cold_s = work_s
+        self.cold_s += _SAMPLE_WEIGHT * (bounded_s - self.cold_s)
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -13,7 +13,7 @@
     ObjectPlaces,
 )
 from radishmux.steer.placement import Placement, PlacementRequest
-from radishmux.steer.server_state import SHED_PAUSE_S
+from radishmux.steer.server_state import SHED_PAUSE_S, LoadReport
 from radishmux.steer.work_times import WorkTimes
 from tests.gateway.parts import REGIONS, server
 from tests.steer.warm_fleet import WarmFleet, WarmServer
@@ -300,3 +300,50 @@
     choice = placement.choose(request, records, lambda _: True, 0.0)
     assert choice.server.name == "x"
     assert placement.choose(request, (), lambda _: True, 0.0) is None
+
+
+def test_pace_decides_between_servers_and_is_not_taken_for_slowness():
+    """Guards against servers whose reported pace counts twice."""
+    placement = Placement("a", "a-1")
+    servers = (server("x", "a-1"), server("y", "a-1"))
+    request = PlacementRequest("s", "r", None, frozenset())
+    for now in range(100, 160):
+        for one, pace in (("x", 4.0), ("y", 1.0)):
+            state = placement.state(one)
+            state.apply_load_report(LoadReport(0, 0, 4, pace), now)
+        only_x = placement.choose(request, servers[:1], lambda _: True, now)
+        # The server takes exactly as long as its pace suggests.
+        duration_s = 0.0004 + 4.0 * placement.work_times("s", "r").warm_s
+        ratio = duration_s / only_x.expected_s
+        placement.state("x").record_response(ratio, None, now)
+    assert only_x.pace == pytest.approx(4.0, rel=0.05)
+    assert placement.state("x").slowness(160.0) < 1.05
+    chosen = placement.choose(request, servers, lambda _: True, 160.0)
+    assert chosen.server.name == "y"
+    assert only_x.expected_cold_s > only_x.expected_s
+
+
+def test_queue_drains_at_the_pace_of_the_machine():
+    """Guards against waiting at a slow machine for a fast queue."""
+    placement = Placement("a", "a-1")
+    request = PlacementRequest("s", "r", None, frozenset())
+    expected = {}
+    for pace in (1.0, 5.0):
+        state = placement.state("x")
+        state.apply_load_report(LoadReport(4, 4, 4, pace), 100.0)
+        (choice,) = [
+            placement.choose(request, [server("x", "a-1")], bool, 100.0)
+        ]
+        expected[pace] = choice.expected_s
+    assert expected[5.0] > 1.5 * expected[1.0]
+
+
+def test_one_long_cold_request_changes_the_work_time_little():
+    """Guards against hedges and placement that follow a heavy tail."""
+    work = WorkTimes()
+    for n in range(100):
+        work.record_work(2.1 if n % 33 == 5 else 0.3, False, False)
+        assert work.cold_s <= 0.34
+    for _ in range(20):
+        work.record_work(2.1, False, False)
+    assert work.cold_s > 1.5
--- a/tests/steer/test_server_state.py
+++ b/tests/steer/test_server_state.py
@@ -1,9 +1,13 @@
-"""Checks the load estimate for a server that is rarely used."""
+"""Checks the estimates of load, pace and slowness of a server."""
 
 from __future__ import annotations
 
+import pytest
+
 from radishmux.steer.server_state import (
     MEAN_LOAD_HALF_LIFE_S,
+    MEAN_PACE_HALF_LIFE_S,
+    PACE_VALID_S,
     REPORT_VALID_S,
     LoadReport,
     ServerState,
@@ -49,6 +53,64 @@
     assert state.load(now + 6.0 + REPORT_VALID_S) < 1.0
 
 
+def paced_server(*reports):
+    """Returns a server that reported pairs of a time and a pace."""
+    state = ServerState()
+    for at, pace in reports:
+        state.apply_load_report(LoadReport(0, 0, 4, pace), at)
+    return state
+
+
+def test_server_without_a_pace_works_at_the_usual_one():
+    """Guards fleets without the fourth figure against any change."""
+    state = paced_server((100.0, None))
+    assert not state.reports_pace
+    assert state.paced_s(0.1234, 100.0) == 0.1234
+
+
+def test_latest_pace_counts_for_a_short_time_only():
+    """Guards against a pace that is kept although it has long changed."""
+    # A machine whose pace alternates between 50 and 150 percent.
+    alternating = [(100.0 + 0.5 * n, 0.5 + n % 2) for n in range(60)]
+    state = paced_server(*alternating, (130.0, 8.0))
+    assert state.paced_s(0.02, 130.0) == pytest.approx(0.16)
+    # Work that outlasts the latest pace goes on at the mean.
+    assert state.paced_s(1.0, 130.0) < 2.5
+    later = state.paced_s(0.02, 130.0 + PACE_VALID_S)
+    assert 0.02 <= later < 0.06
+
+
+def test_mean_pace_of_a_rarely_used_server_is_learned_and_forgotten():
+    """Guards against a slow machine that is tried again with each request.
+
+    And against one that is never tried again.
+    """
+    state = paced_server(*((100.0 + 5.0 * n, 3.0) for n in range(12)))
+    assert state.paced_s(0.1, 156.0) > 0.25
+    assert state.paced_s(0.1, 155.0 + 6 * MEAN_PACE_HALF_LIFE_S) < 0.11
+
+
+def test_report_without_a_pace_keeps_the_last_one():
+    state = paced_server((100.0, 4.0), (100.1, None))
+    assert state.paced_s(0.01, 100.1) == pytest.approx(0.04)
+
+
+def test_one_long_request_does_not_make_a_server_slow():
+    """Guards against heavy tails: 3 in 100 requests take 7 times as long."""
+    state = ServerState()
+    for n in range(200):
+        state.record_response(7.0 if n % 33 == 5 else 0.9, None, 0.1 * n)
+        assert state.slowness(0.1 * n) <= 1.25
+
+
+def test_server_that_is_slow_for_all_requests_counts_as_slow():
+    """Guards against a slow server that passes for one with a heavy tail."""
+    state = ServerState()
+    for n in range(4):
+        state.record_response(10.0, None, 0.1 * n)
+    assert state.slowness(0.3) > 6.0
+
+
 # RECOVER: servers stayed paused, and their objects unknown, after a cut.
 def test_connection_failures_are_forgotten_if_they_were_not_the_servers():
     state = ServerState()
