Hedge by the durations that a route shows

What callers saw: on routes of which a few in 100 requests take 7 times as long as the mean, these missed their target: the second attempt started after three times the duration of a cold object. Cause: a fixed multiple.

Requests that are cancelled count as longer than they lasted, else hedging would hide the tail that calls for it.

steer/hedging.py (pure) starts the second attempt early if all of this holds: the mean rest of the first exceeds a whole attempt elsewhere with its round trip; the second will probably end first; the first will probably miss the target latency, or later responses of a pipelined connection wait for it; the second server has a free slot; at most half of the retry budget is used. Without at least 4 samples beyond the duration, or for a queued first attempt, the rule is as before. Where requests often outlast the fixed multiple and end soon after it, the second attempt waits.

Metric: gateway_hedges_total by service and kind. The pipelined server tells whether a request holds up later ones.

--- a/src/radishmux/dispatch/retry_budget.py
+++ b/src/radishmux/dispatch/retry_budget.py
@@ -53,9 +53,13 @@
         self._advance_buckets(now)
         self._first_attempts[self._bucket % (_BUCKETS + 1)] += 1
 
-    def try_retry(self, now: float) -> bool:
+    def try_retry(self, now: float, share: float = 1.0) -> bool:
         """Counts a retry if the budget allows it.
 
+        Args:
+            now: Monotonic seconds.
+            share: Share of the budget that may be used up after it.
+
         Returns:
             Whether the retry is allowed.
         """
@@ -65,7 +69,7 @@
             sum(self._first_attempts) - self._first_attempts[oldest]
         )
         allowed = self._fraction * first_attempts + self._slack
-        if sum(self._retries) + 1 > allowed:
+        if sum(self._retries) + 1 > share * allowed:
             return False
         self._retries[self._bucket % (_BUCKETS + 1)] += 1
         return True
--- a/src/radishmux/gateway/attempt_group.py
+++ b/src/radishmux/gateway/attempt_group.py
@@ -6,6 +6,7 @@
 from types import TracebackType
 
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
+from radishmux.steer.hedging import HedgePlan
 
 
 class AttemptGroup:
@@ -16,13 +17,16 @@
     Attributes:
         tasks: Tasks of the attempts in flight.
         next_attempt_at: Monotonic time at which another attempt is due.
+        hedge_plan: When a second attempt may start beside the first one; None
+            if further ones wait for the usual delay.
     """
 
-    __slots__ = ("next_attempt_at", "tasks")
+    __slots__ = ("hedge_plan", "next_attempt_at", "tasks")
 
     def __init__(self, next_attempt_at: float) -> None:
         self.tasks: set[asyncio.Task[ServerResponse | NoResponse]] = set()
         self.next_attempt_at = next_attempt_at
+        self.hedge_plan: HedgePlan | None = None
 
     def __enter__(self) -> AttemptGroup:
         return self
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -33,6 +33,8 @@
             for the answer; None if the caller did not say.
         received_at: Monotonic time at which the head was complete.
         has_caller_left: Whether nobody waits for the answer any more.
+        holds_up_others: Whether the answers to later requests of the caller
+            wait for this one.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "body",
         "has_caller_left",
         "headers",
+        "holds_up_others",
         "host",
         "key",
         "method",
@@ -65,6 +68,7 @@
         remaining_s: float | None,
         received_at: float,
         has_caller_left: Callable[[], bool],
+        holds_up_others: Callable[[], bool] = lambda: False,
     ) -> None:
         self.host = host
         self.path = path
@@ -78,6 +82,7 @@
         self.remaining_s = remaining_s
         self.received_at = received_at
         self.has_caller_left = has_caller_left
+        self.holds_up_others = holds_up_others
 
 
 class ExecutionReport:
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -83,6 +83,20 @@
             detail = f"{in_flight} attempts in flight"
         self._write(call, state, reason, detail, now)
 
+    def record_hedge(self, state: RequestState, is_early: bool) -> None:
+        """Counts a second attempt at a request beside the first one.
+
+        Args:
+            state: The request.
+            is_early: Whether the durations of the route showed that the first
+                attempt takes long, before the usual delay passed.
+        """
+        self._metrics.count(
+            "gateway_hedges_total",
+            service=state.service,
+            kind="early" if is_early else "usual",
+        )
+
     def record_relayed(
         self, state: RequestState, peer: str, result: str, now: float
     ) -> None:
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -35,6 +35,11 @@
 from radishmux.http.response import Response
 from radishmux.membership.record import InstanceRecord
 from radishmux.outcome import Unavailable
+from radishmux.steer.hedging import (
+    EARLY_BUDGET_SHARE,
+    HedgePlan,
+    usual_delay_s,
+)
 from radishmux.steer.host_routes import HostRoutes
 from radishmux.steer.placement import Choice
 from radishmux.steer.server_contact import ServerContact
@@ -51,11 +56,6 @@
 CONFIGURATION_RETRY_S = 1.0
 # Longest wait for a token of the customer's rate limit.
 MAX_TOKEN_WAIT_S = 0.25
-# A repeatable request is also sent to a second server when the first one takes
-# this many times as long as expected with a cold object, but not before the
-# minimum delay.
-HEDGE_DELAY_FACTOR = 3.0
-MIN_HEDGE_DELAY_S = 0.25
 # Callers honour a Retry-After of up to a third of their remaining time.
 MAX_RETRY_AFTER_FRACTION = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -255,18 +255,27 @@
             # Not considered again until the attempt in flight has ended.
             group.next_attempt_at = math.inf
         if now >= group.next_attempt_at and self._may_try_again(state):
+            plan = group.hedge_plan if group.tasks else None
+            if plan and not plan.is_due(state.call.holds_up_others(), now):
+                group.next_attempt_at = plan.check_at
+                return None
             choice, helper = self._choose_way(state, now)
-            reason = self._check_attempt(state, choice, helper, now)
+            reason = self._check_attempt(state, choice, helper, now, plan)
+            if group.tasks and reason is None:
+                is_early = plan is not None and plan.is_early
+                self._log.record_hedge(state, is_early)
             if helper is not None and reason is None:
-                group.next_attempt_at = self._hedge_at(
-                    self._chooser.expected_cold_s(state), now
+                group.hedge_plan = None
+                group.next_attempt_at = now + usual_delay_s(
+                    self._chooser.expected_cold_s(state)
                 )
                 group.tasks.add(self._start_relay(state, helper))
             elif choice is not None and reason is None:
-                group.next_attempt_at = self._hedge_at(
-                    choice.expected_cold_s, now
-                )
+                self._plan_hedge(state, group, choice, now)
                 group.tasks.add(self._start(state, choice))
+            elif plan is not None and plan.is_early:
+                plan.give_up_early()
+                group.next_attempt_at = plan.check_at
             elif group.tasks:
                 # Not considered again until the attempts in flight have ended.
                 group.next_attempt_at = math.inf
@@ -282,6 +291,21 @@
             return self._give_up(state, state.failure_reason)
         return None
 
+    def _plan_hedge(
+        self,
+        state: RequestState,
+        group: AttemptGroup,
+        choice: Choice,
+        now: float,
+    ) -> None:
+        """Sets when an attempt beside the one that starts now is due."""
+        group.hedge_plan = None
+        if group.tasks:
+            group.next_attempt_at = now + usual_delay_s(choice.expected_cold_s)
+            return
+        group.hedge_plan = self._chooser.plan_hedge(state, choice, now)
+        group.next_attempt_at = group.hedge_plan.check_at
+
     async def _wait_for_attempt(
         self, state: RequestState, group: AttemptGroup
     ) -> Response | None:
@@ -337,10 +361,12 @@
         choice: Choice | None,
         helper: InstanceRecord | None,
         now: float,
+        plan: HedgePlan | None,
     ) -> str | None:
         """Returns why an attempt must not be made, or None if it may be.
 
-        Allowing a retry uses up one of the service's budget.
+        Allowing a retry uses up one of the service's budget. An early hedge
+        must save time and may not use up the whole budget.
         """
         if (choice is None or helper is not None) and self._is_withheld(state):
             return CRASHES
@@ -348,7 +374,14 @@
             return "no_contact" if self._contact.is_lost else "no_server"
         if choice is not None and now + choice.expected_s >= state.deadline:
             return "no_room"
-        if state.tried_servers and not self._take_retry(state, now):
+        budget_share = 1.0
+        if plan is not None and plan.is_early:
+            if choice is None or not plan.saves_time(choice, now):
+                return "no_gain"
+            budget_share = EARLY_BUDGET_SHARE
+        if state.tried_servers and not self._take_retry(
+            state, now, budget_share
+        ):
             return "retry_budget"
         return None
 
@@ -356,12 +389,14 @@
         """Whether no server may get a request, since it crashes them."""
         return self._chooser.withheld_s(state) > 0.0
 
-    def _take_retry(self, state: RequestState, now: float) -> bool:
+    def _take_retry(
+        self, state: RequestState, now: float, budget_share: float
+    ) -> bool:
         """Takes a retry of the service's budget, or one that was not used."""
         if state.unused_retries:
             state.unused_retries -= 1
             return True
-        return self._retry_budgets.try_retry(state.service, now)
+        return self._retry_budgets.try_retry(state.service, now, budget_share)
 
     def _start(
         self, state: RequestState, choice: Choice
@@ -454,11 +489,6 @@
             return None
         return self._answer(state, outcome)
 
-    def _hedge_at(self, expected_cold_s: float, now: float) -> float:
-        return now + max(
-            MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * expected_cold_s
-        )
-
     def _may_try_again(self, state: RequestState) -> bool:
         """Whether the request may be sent to another server.
 
--- a/src/radishmux/gateway/retry_budgets.py
+++ b/src/radishmux/gateway/retry_budgets.py
@@ -35,9 +35,15 @@
         """Counts the first attempt at a request."""
         self._budget(service).record_first_attempt(now)
 
-    def try_retry(self, service: str, now: float) -> bool:
-        """Counts a retry and returns True if the budget allows it."""
-        return self._budget(service).try_retry(now)
+    def try_retry(self, service: str, now: float, share: float = 1.0) -> bool:
+        """Counts a retry and returns True if the budget allows it.
+
+        Args:
+            service: Name of the service.
+            now: Monotonic seconds.
+            share: Share of the budget that may be used up after it.
+        """
+        return self._budget(service).try_retry(now, share)
 
     @property
     def _slack(self) -> float:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -20,6 +20,7 @@
 from radishmux.gateway.server_connections import ServerConnections
 from radishmux.http.incoming import CALLER_LEFT
 from radishmux.steer.cold_pace import ColdRateLimiter
+from radishmux.steer.hedging import MIN_EXPECTED_S
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_contact import ServerContact
 from radishmux.steer.server_state import LoadReport
@@ -339,6 +340,8 @@
                 None,
                 now,
             )
+            if attempt.sent_at is not None:
+                self._record_duration(attempt, now - attempt.sent_at, False)
         else:
             server_state.record_failure(now)
         if outcome.verdict is not Verdict.NOT_RUN and not attempt.is_suspected:
@@ -352,11 +355,30 @@
         had already taken longer than expected.
         """
         ratio = waited_s / max(0.01, attempt.choice.expected_cold_s)
+        if not self._contact.is_lost:
+            self._record_duration(attempt, waited_s, False)
         if ratio > 1.0 and not self._contact.is_lost:
             server_state = self._placement.state_of(attempt.choice.server)
             server_state.record_response(ratio, None, self._clock.now())
             self._record_version_outcome(attempt, False, waited_s)
 
+    def _record_duration(
+        self, attempt: Attempt, duration_s: float, is_complete: bool
+    ) -> None:
+        """Records a duration, or the time after which one was given up."""
+        choice = attempt.choice
+        if choice.is_queued:
+            # The duration depends on the queue more than on the route.
+            return
+        durations = self._placement.work_times(
+            choice.server.entry.service, attempt.route.name
+        ).durations(choice.known_warm, choice.is_home)
+        ratio = duration_s / max(MIN_EXPECTED_S, choice.expected_s)
+        if is_complete:
+            durations.record(ratio)
+        else:
+            durations.record_cancelled(ratio)
+
     def _record_version_outcome(
         self, attempt: Attempt, failed: bool, duration_s: float
     ) -> None:
@@ -462,6 +484,7 @@
             choice.server.entry.service, route.name
         )
         work.record_response_bytes(len(outcome.body))
+        self._record_duration(attempt, duration_s, True)
         if choice.is_queued:
             # The duration includes the wait in the queue.
             return
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -12,6 +12,7 @@
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
 from radishmux.shift.rollout import ANY_VERSION, VersionRule
+from radishmux.steer.hedging import HedgePlan
 from radishmux.steer.placement import (
     Choice,
     Placement,
@@ -160,6 +161,19 @@
         """Whether two servers may run a request at the same time."""
         return not self._guard.is_marked(state.digest)
 
+    def plan_hedge(
+        self, state: RequestState, choice: Choice, now: float
+    ) -> HedgePlan:
+        """Returns when a second attempt beside a first one may start."""
+        route = state.route
+        return HedgePlan(
+            choice,
+            self._placement.work_times(state.service, route.name),
+            route.affinity and state.call.affinity is not None,
+            state.call.received_at + route.target_latency_s,
+            now,
+        )
+
     def expected_cold_s(self, state: RequestState) -> float:
         """Returns the time that a server takes if the object is cold."""
         route = state.route.name
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -6,6 +6,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -257,6 +258,7 @@
             not self._parser.should_keep_alive(), method == "HEAD", len(body)
         )
         pending.request = request
+        request.holds_up_others = partial(self._holds_up_others, pending)
         self._pending.append(pending)
         pending.task = self._loop.create_task(
             self._run_handler(pending, request)
@@ -308,6 +310,15 @@
         else:
             self.close()
 
+    def _holds_up_others(self, pending: _PendingResponse) -> bool:
+        """Whether a response is the first missing one of several."""
+        waiting = [one for one in self._pending if one.response is None]
+        return (
+            bool(waiting)
+            and waiting[0] is pending
+            and self._pending[-1] is not pending
+        )
+
     # Sending of responses.
 
     async def _run_handler(
--- a/src/radishmux/http/incoming.py
+++ b/src/radishmux/http/incoming.py
@@ -15,7 +15,7 @@
 CANCELLED = "cancelled"
 
 
-def _stays() -> bool:
+def _no() -> bool:
     return False
 
 
@@ -31,6 +31,8 @@
         has_caller_left: Whether the caller has closed the connection. Asks the
             kernel, so that it holds also before the event loop has read the
             end of input. The handler is cancelled if it has.
+        holds_up_others: Whether the responses to later requests on the
+            connection wait for the one to this request.
         remote_host: Address of the other end, without the port.
     """
 
@@ -38,6 +40,7 @@
         "body",
         "has_caller_left",
         "headers",
+        "holds_up_others",
         "method",
         "received_at",
         "remote_host",
@@ -51,9 +54,10 @@
         headers: Headers,
         body: bytes,
         received_at: float,
-        has_caller_left: Callable[[], bool] = _stays,
+        has_caller_left: Callable[[], bool] = _no,
         remote_host: str = "",
     ) -> None:
+        self.holds_up_others: Callable[[], bool] = _no
         self.remote_host = remote_host
         self.method = method
         self.target = target
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -71,6 +71,7 @@
         remaining_s=None if deadline_ms is None else deadline_ms / 1000,
         received_at=request.received_at,
         has_caller_left=request.has_caller_left,
+        holds_up_others=request.holds_up_others,
     )
 
 
--- a/src/radishmux/steer/work_times.py
+++ b/src/radishmux/steer/work_times.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from radishmux.steer.duration_histogram import DurationHistogram
 from radishmux.steer.server_state import MAX_LONE_RATIO
 
 # Work time assumed before the first measurement.
@@ -33,6 +34,7 @@
     """
 
     __slots__ = (
+        "_durations",
         "_last_cold_s",
         "_response_bytes",
         "cold_s",
@@ -46,6 +48,8 @@
         self.warm_s = INITIAL_WORK_S * INITIAL_WARM_RATIO
         self.mean_s = self.cold_s
         self._last_cold_s = self.cold_s
+        # Of objects known to be warm, of others at their home, and elsewhere.
+        self._durations = tuple(DurationHistogram() for _ in range(3))
         self.home_warm_chance = INITIAL_HOME_WARM_CHANCE
         self._response_bytes: float | None = None
 
@@ -80,6 +84,15 @@
             return chance * self.warm_s + (1.0 - chance) * self.cold_s
         return self.cold_s
 
+    def durations(self, known_warm: bool, is_home: bool) -> DurationHistogram:
+        """Returns the durations relative to the expected ones.
+
+        Args:
+            known_warm: Whether the object is known to be warm at the server.
+            is_home: Whether the server is a home of the object.
+        """
+        return self._durations[0 if known_warm else 1 if is_home else 2]
+
     def record_work(
         self, work_s: float, known_warm: bool, is_home: bool
     ) -> None:
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -138,6 +138,13 @@
         "service",
         "outcome",
     ),
+    _counter(
+        "gateway_hedges_total",
+        "Attempts beside one in flight; kind is 'early' if the durations of the"
+        " route showed that the first one takes long, else 'usual'.",
+        "service",
+        "kind",
+    ),
     _counter(
         "gateway_connects_total",
         "Attempts to connect to backend servers; outcome is 'open' or the"
--- a/tests/gateway/test_pipelined.py
+++ b/tests/gateway/test_pipelined.py
@@ -79,6 +79,30 @@
     assert second[1]["x-target"] == "/fast"
 
 
+async def test_request_knows_whether_later_responses_wait_for_it():
+    """Guards against a long request that is not hedged at others' expense."""
+    release = asyncio.Event()
+    requests = []
+
+    async def handler(request):
+        requests.append(request)
+        if request.target != "/1":
+            await release.wait()
+        return await echo(request)
+
+    async with serve(handler) as server, Caller(server) as caller:
+        for n in range(4):
+            caller.writer.write(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % n)
+            while len(requests) <= n:
+                await asyncio.sleep(0.01)
+            holding = [one.target for one in requests if one.holds_up_others()]
+            assert holding == (["/0"] if n else [])
+        release.set()
+        for _ in range(4):
+            await caller.read_response()
+    assert not any(one.holds_up_others() for one in requests)
+
+
 async def test_chunked_body_is_joined():
     async with serve() as server, Caller(server) as caller:
         caller.writer.write(
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -25,6 +25,7 @@
 from radishmux.platform import dialect
 from radishmux.settings.gateway import Bounds
 from radishmux.shift.rollout import ANY_VERSION
+from radishmux.steer.hedging import EARLY_BUDGET_SHARE
 from radishmux.steer.placement import Placement
 from radishmux.steer.server_contact import ServerContact
 from radishmux.telemetry.metrics import Metrics
@@ -300,6 +301,26 @@
     assert sender.cancelled == 1
 
 
+@pytest.mark.parametrize(("tail", "attempts"), [(7.0, 2), (1.0, 1)])
+async def test_long_request_of_a_heavy_tail_is_hedged_early(tail, attempts):
+    """Guards against waiting three times the duration of a cold object."""
+    sender = FakeSender((0.7, OK), OK)
+    flow, _ = make_flow(sender)
+    work = flow._chooser._placement.work_times("s", "r")
+    for ratio in [1.0] * 300 + [tail] * 10:
+        work.durations(True, False).record(ratio)
+    assert (await send_request(flow)).status == 200
+    assert len(sender.servers) == attempts
+
+
+async def test_early_hedges_leave_budget_for_retries():
+    """Guards against shed requests that get no retry for the sake of hedges."""
+    budgets = RetryBudgets(Bounds(retry_slack=50))
+    while budgets.try_retry("s", 100.0, EARLY_BUDGET_SHARE):
+        pass
+    assert sum(budgets.try_retry("s", 100.0) for _ in range(100)) == 20
+
+
 async def test_slow_attempt_continues_without_a_second_server():
     sender = FakeSender((1.2, OK))
     configuration = parts.configuration(parts.route(timeout_s=3.0))
