--- a/scripts/reference.py
+++ b/scripts/reference.py
@@ -184,7 +184,7 @@
 def _type(field_type: types.Type) -> str:
     if isinstance(field_type, types.Metadata):
         return _type(field_type.type)
-    if isinstance(field_type, types.ListType):
+    if isinstance(field_type, (types.ListType, types.VarTupleType)):
         return f"list of {_type(field_type.item_type)}"
     if isinstance(field_type, types.DictType):
         return f"map of text to {_type(field_type.value_type)}"
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -337,6 +337,7 @@
             placement,
             self._sender,
             self._crash_guard,
+            settings.hedge_by_durations,
         )
         guarded_sender = GuardedSender(
             self._sender,
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -300,11 +300,12 @@
     ) -> None:
         """Sets when an attempt beside the one that starts now is due."""
         group.hedge_plan = None
+        group.next_attempt_at = now + usual_delay_s(choice.expected_cold_s)
         if group.tasks:
-            group.next_attempt_at = now + usual_delay_s(choice.expected_cold_s)
             return
-        group.hedge_plan = self._chooser.plan_hedge(state, choice, now)
-        group.next_attempt_at = group.hedge_plan.check_at
+        plan = group.hedge_plan = self._chooser.plan_hedge(state, choice, now)
+        if plan is not None:
+            group.next_attempt_at = plan.check_at
 
     async def _wait_for_attempt(
         self, state: RequestState, group: AttemptGroup
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -38,6 +38,8 @@
         placement: Compares the servers.
         sender: Says which servers accept requests now.
         guard: Says which requests crash servers.
+        hedges_by_durations: Whether the durations of a route decide when a
+            second attempt starts.
     """
 
     def __init__(
@@ -47,7 +49,9 @@
         placement: Placement,
         sender: ServerSender,
         guard: CrashGuard,
+        hedges_by_durations: bool = False,
     ) -> None:
+        self._hedges_by_durations = hedges_by_durations
         self._guard = guard
         self._fleet = fleet
         self._rollouts = rollouts
@@ -163,8 +167,14 @@
 
     def plan_hedge(
         self, state: RequestState, choice: Choice, now: float
-    ) -> HedgePlan:
-        """Returns when a second attempt beside a first one may start."""
+    ) -> HedgePlan | None:
+        """Returns when a second attempt beside a first one may start.
+
+        Returns:
+            The plan; None if the usual delay applies.
+        """
+        if not self._hedges_by_durations:
+            return None
         route = state.route
         return HedgePlan(
             choice,
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -106,6 +106,9 @@
         link_mbps: Bandwidth of the machine.
         full_mesh_max: Up to this many instances, each exchanges reports with
             every other one; in larger fleets through hubs.
+        hedge_by_durations: Whether second attempts start when the measured
+            durations of the route show that they save time; otherwise after a
+            multiple of the expected duration.
         logs: Log output.
     """
 
@@ -121,6 +124,7 @@
     cores: float = 1.0
     link_mbps: float = 1_000.0
     full_mesh_max: int = FULL_MESH_MAX
+    hedge_by_durations: bool = False
     logs: LogSettings = LogSettings()
 
 
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -119,6 +119,7 @@
     events=None,
     guard=None,
     detector=None,
+    hedges_by_durations=True,
 ):
     if events is None:
         configuration = configuration or parts.configuration()
@@ -133,7 +134,9 @@
     placement = Placement("a", "a-1")
     flow = RequestFlow(
         fleet,
-        ServerChooser(fleet, FakeRollouts(), placement, sender, guard),
+        ServerChooser(
+            fleet, FakeRollouts(), placement, sender, guard, hedges_by_durations
+        ),
         sender,
         parts.guarded_sender(sender, clock, guard, detector),
         FakeRateLimiter(admits),
@@ -301,11 +304,16 @@
     assert sender.cancelled == 1
 
 
-@pytest.mark.parametrize(("tail", "attempts"), [(7.0, 2), (1.0, 1)])
-async def test_long_request_of_a_heavy_tail_is_hedged_early(tail, attempts):
+@pytest.mark.parametrize(
+    ("tail", "enabled", "attempts"),
+    [(7.0, True, 2), (1, True, 1), (7, False, 1)],
+)
+async def test_long_request_of_a_heavy_tail_is_hedged_early(
+    tail, enabled, attempts
+):
     """Guards against waiting three times the duration of a cold object."""
     sender = FakeSender((0.7, OK), OK)
-    flow, _ = make_flow(sender)
+    flow, _ = make_flow(sender, hedges_by_durations=enabled)
     work = flow._chooser._placement.work_times("s", "r")
     for ratio in [1.0] * 300 + [tail] * 10:
         work.durations(True, False).record(ratio)
