--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -264,6 +264,8 @@
             if group.tasks and reason is None:
                 is_early = plan is not None and plan.is_early
                 self._log.record_hedge(state, is_early)
+                if is_early:
+                    state.choices[-1].is_hedged_early = True
             if helper is not None and reason is None:
                 group.hedge_plan = None
                 group.next_attempt_at = now + usual_delay_s(
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -20,6 +20,7 @@
 from radishmux.gateway.server_connections import ServerConnections
 from radishmux.http.incoming import CALLER_LEFT
 from radishmux.steer.cold_pace import ColdRateLimiter
+from radishmux.steer.duration_histogram import DurationHistogram
 from radishmux.steer.hedging import MIN_EXPECTED_S
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_contact import ServerContact
@@ -354,13 +355,25 @@
         disconnects. It says something about the server only if the attempt
         had already taken longer than expected.
         """
-        ratio = waited_s / max(0.01, attempt.choice.expected_cold_s)
-        if not self._contact.is_lost:
-            self._record_duration(attempt, waited_s, False)
-        if ratio > 1.0 and not self._contact.is_lost:
-            server_state = self._placement.state_of(attempt.choice.server)
-            server_state.record_response(ratio, None, self._clock.now())
-            self._record_version_outcome(attempt, False, waited_s)
+        if self._contact.is_lost:
+            return
+        choice = attempt.choice
+        self._record_duration(attempt, waited_s, False)
+        expected_s = choice.expected_cold_s
+        if choice.is_hedged_early:
+            expected_s = choice.expected_s
+        ratio = waited_s / max(MIN_EXPECTED_S, expected_s)
+        if ratio <= 1.0:
+            return
+        if choice.is_hedged_early:
+            # A slow server must be seen although its requests are cancelled
+            # soon after the time that was expected.
+            rest = self._durations(attempt).rest(ratio)
+            ratio += rest
+            waited_s += rest * expected_s
+        server_state = self._placement.state_of(choice.server)
+        server_state.record_response(ratio, None, self._clock.now())
+        self._record_version_outcome(attempt, False, waited_s)
 
     def _record_duration(
         self, attempt: Attempt, duration_s: float, is_complete: bool
@@ -370,15 +383,19 @@
         if choice.is_queued:
             # The duration depends on the queue more than on the route.
             return
-        durations = self._placement.work_times(
-            choice.server.entry.service, attempt.route.name
-        ).durations(choice.known_warm, choice.is_home)
+        durations = self._durations(attempt)
         ratio = duration_s / max(MIN_EXPECTED_S, choice.expected_s)
         if is_complete:
             durations.record(ratio)
         else:
             durations.record_cancelled(ratio)
 
+    def _durations(self, attempt: Attempt) -> DurationHistogram:
+        choice = attempt.choice
+        return self._placement.work_times(
+            choice.server.entry.service, attempt.route.name
+        ).durations(choice.known_warm, choice.is_home)
+
     def _record_version_outcome(
         self, attempt: Attempt, failed: bool, duration_s: float
     ) -> None:
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -123,11 +123,14 @@
             pace of the machine.
         load: Estimated number of requests at the server.
         cost: Expected cost in seconds; the lowest cost is chosen.
+        is_hedged_early: Whether a second attempt was started beside this one
+            before the usual delay.
     """
 
     __slots__ = (
         "cost",
         "expected_s",
+        "is_hedged_early",
         "is_home",
         "is_queued",
         "known_warm",
@@ -162,6 +165,7 @@
         self.load = load
         self.pace = pace
         self.cost = cost
+        self.is_hedged_early = False
 
 
 class Placement:
--- a/tests/gateway/test_paced_work.py
+++ b/tests/gateway/test_paced_work.py
@@ -102,3 +102,18 @@
     attempt = start(placement, None)
     sender._record_cancelled(attempt, 2.0 * attempt.choice.expected_s)
     assert durations.chance_beyond(3.0, 0.0) > before
+
+
+@pytest.mark.parametrize("is_early", [True, False])
+def test_slow_server_is_seen_although_its_requests_are_hedged(is_early):
+    """Guards against a slow server or version that hides behind hedges."""
+    sender, placement, rollouts = make_sender()
+    durations = placement.work_times("s", "r").durations(True, False)
+    for ratio in [1.0] * 190 + [7.0] * 10:
+        durations.record(ratio)
+    for _ in range(4):
+        attempt = start(placement, None)
+        attempt.choice.is_hedged_early = is_early
+        sender._record_cancelled(attempt, 2.4 * attempt.choice.expected_s)
+    assert (placement.state("x").slowness(100.0) > 2.5) == is_early
+    assert len(rollouts.ratios) == (4 if is_early else 0)
--- a/tests/steer/test_placement.py
+++ b/tests/steer/test_placement.py
@@ -347,3 +347,20 @@
     for _ in range(20):
         work.record_work(2.1, False, False)
     assert work.cold_s > 1.5
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_fleet_with_uneven_paces_is_more_often_in_time_if_they_are_reported(
+    seed,
+):
+    """Guards against a pace that herds requests or is learned too slowly."""
+    in_time = {}
+    for reports_pace in (False, True):
+        servers = warm_servers()
+        for n, one in enumerate(servers):
+            one.paces = (2.0, 3.0, 4.0) if n % 4 == 0 else (0.5, 1.0, 1.5)
+        fleet = WarmFleet(servers, DOMAINS, seed, cold_s=0.2, warm_s=0.08)
+        fleet.reports_pace = reports_pace
+        fleet.play(20.0, 120.0, objects=60, target_s=0.25)
+        in_time[reports_pace] = fleet.share_in_time(5.0, 20.0, 0.25)
+    assert in_time[True] > in_time[False] + 0.02
--- a/tests/steer/warm_fleet.py
+++ b/tests/steer/warm_fleet.py
@@ -11,18 +11,32 @@
 from tests.gateway.parts import server
 
 REMOTE_S = 0.11
+PACE_PERIOD_S = 0.3
 
 
 class WarmServer:
-    """A server with slots, a queue and a cache of recent objects."""
+    """A server with slots, a queue and a cache of recent objects.
 
-    def __init__(self, name, domain, slots, cache_size):
+    Its pace changes at random times, `PACE_PERIOD_S` apart on average, around a
+    mean of its own, unless `paces` is None.
+    """
+
+    def __init__(self, name, domain, slots, cache_size, paces=None):
+        self.paces = paces
+        self.pace = 1.0
+        self.pace_until = 0.0
         self.record = server(name, domain, slots=slots)
         self.cache_size = cache_size
         self.running = 0
         self.queue = deque()
         self.cache = OrderedDict()
 
+    def pace_at(self, now, rng):
+        while self.paces and now >= self.pace_until:
+            self.pace = rng.choice(self.paces)
+            self.pace_until += rng.expovariate(1 / PACE_PERIOD_S)
+        return self.pace
+
     def begin(self, key, cold_s, warm_s, rng):
         self.running += 1
         work_s = warm_s if key in self.cache else cold_s
@@ -45,6 +59,7 @@
         self.placements = [Placement(domain[0], domain) for domain in domains]
         self.cold_s = cold_s
         self.warm_s = warm_s
+        self.reports_pace = True
         self.events = []
         self.event_number = 0
         # (start time, duration in seconds, caller's region, server's region)
@@ -106,6 +121,7 @@
 
     def _begin(self, now, target, request):
         work_s = target.begin(request[3], self.cold_s, self.warm_s, self.rng)
+        work_s *= target.pace_at(now, self.rng)
         self._push(now + work_s, self._finish, target, request)
 
     def _finish(self, now, target, request):
@@ -113,7 +129,12 @@
         if target.queue:
             self._begin(now, target, target.queue.popleft())
         report = LoadReport(
-            target.running, len(target.queue), target.record.entry.slots
+            target.running,
+            len(target.queue),
+            target.record.entry.slots,
+            target.pace_at(now, self.rng)
+            if target.paces and self.reports_pace
+            else None,
         )
         self._push(now + request[5], self._answer, request, report)
 
@@ -126,7 +147,9 @@
         state.record_response(duration_s / choice.expected_s, key, now)
         if not choice.is_queued:
             placement.work_times("s", route).record_work(
-                duration_s - 2 * travel_s, choice.known_warm, choice.is_home
+                (duration_s - 2 * travel_s) / choice.pace,
+                choice.known_warm,
+                choice.is_home,
             )
         self.responses.append(
             (began_at, duration_s, placement._region, choice.server.region)
