--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -338,6 +338,7 @@
             placement,
             self._sender,
             self._crash_guard,
+            settings.hedge_by_durations,
         )
         guarded_sender = GuardedSender(
             self._sender,
@@ -539,5 +540,5 @@
 
 def _relay_address(settings: GatewaySettings) -> str:
     """Returns the address for relayed requests; empty if no port is left."""
-    first, last = settings.listen.peer_ports
+    first, last = settings.listen.peer_ports[:2]
     return f"{settings.ip}:{last}" if last != first else ""
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -20,6 +20,8 @@
 from radishmux.gateway.server_connections import ServerConnections
 from radishmux.http.incoming import CALLER_LEFT
 from radishmux.steer.cold_pace import ColdRateLimiter
+from radishmux.steer.duration_histogram import DurationHistogram
+from radishmux.steer.hedging import MIN_EXPECTED_S
 from radishmux.steer.placement import Choice, Placement, object_key
 from radishmux.steer.server_contact import ServerContact
 from radishmux.steer.server_state import LoadReport
@@ -339,6 +341,8 @@
                 None,
                 now,
             )
+            if attempt.sent_at is not None:
+                self._record_duration(attempt, now - attempt.sent_at, False)
         else:
             server_state.record_failure(now)
         if outcome.verdict is not Verdict.NOT_RUN and not attempt.is_suspected:
@@ -351,11 +355,46 @@
         disconnects. It says something about the server only if the attempt
         had already taken longer than expected.
         """
-        ratio = waited_s / max(0.01, attempt.choice.expected_cold_s)
-        if ratio > 1.0 and not self._contact.is_lost:
-            server_state = self._placement.state_of(attempt.choice.server)
-            server_state.record_response(ratio, None, self._clock.now())
-            self._record_version_outcome(attempt, False, waited_s)
+        if self._contact.is_lost:
+            return
+        choice = attempt.choice
+        self._record_duration(attempt, waited_s, False)
+        expected_s = choice.expected_cold_s
+        if choice.is_hedged_early:
+            expected_s = choice.expected_s
+        ratio = waited_s / max(MIN_EXPECTED_S, expected_s)
+        if ratio <= 1.0:
+            return
+        if choice.is_hedged_early:
+            # A slow server must be seen although its requests are cancelled
+            # soon after the time that was expected.
+            rest = self._durations(attempt).rest(ratio)
+            ratio += rest
+            waited_s += rest * expected_s
+        server_state = self._placement.state_of(choice.server)
+        server_state.record_response(ratio, None, self._clock.now())
+        self._record_version_outcome(attempt, False, waited_s)
+
+    def _record_duration(
+        self, attempt: Attempt, duration_s: float, is_complete: bool
+    ) -> None:
+        """Records a duration, or the time after which one was given up."""
+        choice = attempt.choice
+        if choice.is_queued:
+            # The duration depends on the queue more than on the route.
+            return
+        durations = self._durations(attempt)
+        ratio = duration_s / max(MIN_EXPECTED_S, choice.expected_s)
+        if is_complete:
+            durations.record(ratio)
+        else:
+            durations.record_cancelled(ratio)
+
+    def _durations(self, attempt: Attempt) -> DurationHistogram:
+        choice = attempt.choice
+        return self._placement.work_times(
+            choice.server.entry.service, attempt.route.name
+        ).durations(choice.known_warm, choice.is_home)
 
     def _record_version_outcome(
         self, attempt: Attempt, failed: bool, duration_s: float
@@ -462,12 +501,17 @@
             choice.server.entry.service, route.name
         )
         work.record_response_bytes(len(outcome.body))
+        self._record_duration(attempt, duration_s, True)
         if choice.is_queued:
             # The duration includes the wait in the queue.
             return
         round_trip_s = self._placement.round_trip_s(choice.server)
+        work_s = max(0.001, duration_s - round_trip_s)
+        # Speed during the work: the mean of those at its start and its end.
+        usual_s = max(0.001, choice.work_s / choice.pace)
+        speed_at_end = usual_s / server_state.paced_s(usual_s, now)
         work.record_work(
-            max(0.001, duration_s - round_trip_s),
+            work_s * (1.0 / choice.pace + speed_at_end) / 2,
             choice.known_warm,
             choice.is_home,
         )
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -12,6 +12,7 @@
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.sender import ServerSender
 from radishmux.shift.rollout import ANY_VERSION, VersionRule
+from radishmux.steer.hedging import HedgePlan
 from radishmux.steer.placement import (
     Choice,
     Placement,
@@ -37,6 +38,8 @@
         placement: Compares the servers.
         sender: Says which servers accept requests now.
         guard: Says which requests crash servers.
+        hedges_by_durations: Whether the durations of a route decide when a
+            second attempt starts.
     """
 
     def __init__(
@@ -46,7 +49,9 @@
         placement: Placement,
         sender: ServerSender,
         guard: CrashGuard,
+        hedges_by_durations: bool = False,
     ) -> None:
+        self._hedges_by_durations = hedges_by_durations
         self._guard = guard
         self._fleet = fleet
         self._rollouts = rollouts
@@ -160,6 +165,25 @@
         """Whether two servers may run a request at the same time."""
         return not self._guard.is_marked(state.digest)
 
+    def plan_hedge(
+        self, state: RequestState, choice: Choice, now: float
+    ) -> HedgePlan | None:
+        """Returns when a second attempt beside a first one may start.
+
+        Returns:
+            The plan; None if the usual delay applies.
+        """
+        if not self._hedges_by_durations:
+            return None
+        route = state.route
+        return HedgePlan(
+            choice,
+            self._placement.work_times(state.service, route.name),
+            route.affinity and state.call.affinity is not None,
+            state.call.received_at + route.target_latency_s,
+            now,
+        )
+
     def expected_cold_s(self, state: RequestState) -> float:
         """Returns the time that a server takes if the object is cold."""
         route = state.route.name
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -24,14 +25,15 @@
         directory: Lookups of callers, which ask for the instance to use.
         peer_ports: First and last port available for peer connections: the
             first one takes messages, the last one relayed requests. Requests
-            are not relayed to this instance if they are the same.
+            are not relayed to this instance if they are the same. Further
+            numbers are ignored.
         metrics: Metrics for Prometheus; not served if empty.
     """
 
     caller: str
     ready: str
     directory: str
-    peer_ports: tuple[int, int]
+    peer_ports: Annotated[tuple[int, ...], msgspec.Meta(min_length=2)]
     metrics: str = ""
 
 
@@ -104,6 +106,9 @@
         link_mbps: Bandwidth of the machine.
         full_mesh_max: Up to this many instances, each exchanges reports with
             every other one; in larger fleets through hubs.
+        hedge_by_durations: Whether second attempts start when the measured
+            durations of the route show that they save time; otherwise after a
+            multiple of the expected duration.
         logs: Log output.
     """
 
@@ -119,6 +124,7 @@
     cores: float = 1.0
     link_mbps: float = 1_000.0
     full_mesh_max: int = FULL_MESH_MAX
+    hedge_by_durations: bool = False
     logs: LogSettings = LogSettings()
 
 
