Share the loads of backend servers within a region

In a fleet of 62 to 90 gateways each one sees a response of a given server only every few seconds, so that a full server was tried by many instances in turn.

A member now reports the loads that responses told it to the hubs of its region. A hub keeps the newest row of each server and answers with those of the region; hubs of other regions get them, too.

ServerState applies a peer's report unless an own response is newer, and does not count own requests twice.

The setting share_server_loads is null by default: loads are shared only in fleets with hubs.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -28,6 +28,7 @@
 from radishmux.gateway.gossip_state import GossipState
 from radishmux.gateway.guarded_sender import GuardedSender
 from radishmux.gateway.holder_changes import HolderChanges
+from radishmux.gateway.load_exchange import LoadExchange
 from radishmux.gateway.rate_limiter import FleetRateLimiter
 from radishmux.gateway.relay_service import RelayService
 from radishmux.gateway.reports import FleetReports
@@ -240,6 +241,17 @@
             self._clock,
         )
         self._fleet.add_listener(self._crash_guard.on_event)
+        self._placement = Placement(
+            settings.region, settings.failure_domain, settings.regions
+        )
+        self._loads = LoadExchange(
+            settings.region,
+            self._fleet.servers,
+            self._placement,
+            settings.share_server_loads,
+            self._clock,
+            self._metrics,
+        )
         gossip_state = GossipState(
             self._record,
             self._peers,
@@ -250,6 +262,7 @@
             self._clock,
             lambda: self._contact.is_lost,
             self._crash_guard,
+            self._loads,
         )
         holder_changes = HolderChanges(
             self._record,
@@ -310,9 +323,7 @@
     ) -> None:
         """Starts the path of requests, the listeners and housekeeping."""
         settings, clock = self._settings, self._clock
-        placement = Placement(
-            settings.region, settings.failure_domain, settings.regions
-        )
+        placement = self._placement
         self._sender = ServerSender(
             self._fleet,
             placement,
@@ -323,6 +334,7 @@
             dialect,
             clock,
             self._metrics,
+            self._loads,
         )
         stack.push_async_callback(self._sender.close)
         decision_log = DecisionLog(
@@ -455,6 +467,7 @@
         routes = self._fleet.routes
         problems = routes.configuration.problems if routes else ()
         metrics.set("gateway_configuration_problems", len(problems))
+        metrics.set("gateway_server_loads_known", self._loads.known_count)
         metrics.set("gateway_store_fed", self._mirror.is_fed(now))
         metrics.set("gateway_peers_heard", self._peers.heard_count(now))
         metrics.set("gateway_log_lines_dropped", self._stream.dropped)
--- a/src/radishmux/gateway/gossip_state.py
+++ b/src/radishmux/gateway/gossip_state.py
@@ -26,6 +26,7 @@
     to_ms,
 )
 from radishmux.gateway.crash_guard import CrashGuard
+from radishmux.gateway.load_exchange import LoadExchange
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.membership.peers import MemberStatus, Peers
 from radishmux.membership.record import InstanceRecord
@@ -67,6 +68,7 @@
         clock: Monotonic time.
         is_cut_off: Returns whether this instance reaches no backend server.
         crash_guard: Knows the requests that crash servers.
+        loads: Shares the loads of servers; None: they are not shared.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         clock: Clock,
         is_cut_off: Callable[[], bool],
         crash_guard: CrashGuard,
+        loads: LoadExchange | None = None,
     ) -> None:
         self._crash_guard = crash_guard
+        self._loads = loads
         self._is_cut_off = is_cut_off
         self._own = own
         self._peers = peers
@@ -119,6 +123,19 @@
         """Sets whether members receive store changes from this instance."""
         self._mirror.set_hub(is_hub)
 
+    def set_exchange(
+        self, is_hub: bool, has_hubs: bool, period_s: float
+    ) -> None:
+        """Sets the part of this instance in the sharing of servers' loads.
+
+        Args:
+            is_hub: Whether members get the loads from this instance.
+            has_hubs: Whether the fleet is larger than a full mesh.
+            period_s: Time between two reports.
+        """
+        if self._loads is not None:
+            self._loads.set_role(is_hub, has_hubs, period_s)
+
     def end_feed(self, reason: str) -> None:
         """Ends the feed of store changes because the hub sent none."""
         self._mirror.end_feed(reason)
@@ -248,6 +265,12 @@
                 to_started=request is not None and not request.is_settled
             ),
         )
+        if self._loads is not None:
+            report.server_loads = (
+                self._loads.rows_for_member()
+                if audience is Audience.MEMBER
+                else self._loads.rows_for_hub()
+            )
         if request is not None:
             report.asks_who = not self._peers.knows(request.instance)
         if with_introductions or (
@@ -319,6 +342,10 @@
         if report.demands:
             self._divide(now)
         self._crash_guard.apply_records(report.crashes or (), name)
+        if self._loads is not None and report.server_loads:
+            self._loads.apply(
+                report.server_loads, self._peers.records[name].region
+            )
         self._apply_rollouts(report, now)
         for rejected in report.rejected or ():
             if rejected.service_name and rejected.version and rejected.revision:
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -243,7 +243,11 @@
             lambda name: self._peers.is_usable(name, now),
             self._full_mesh_max,
         )
-        self._gossip_state.set_hub(plan.is_hub and not plan.is_mesh)
+        is_region_hub = plan.is_hub and not plan.is_mesh
+        self._gossip_state.set_hub(is_region_hub)
+        self._gossip_state.set_exchange(
+            is_region_hub, not plan.is_mesh, self._period_s
+        )
         if plan.is_hub != was_hub:
             state_change("hub of the region", "on" if plan.is_hub else "off")
         silent_after_s = plan.silent_periods * self._period_s
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -15,6 +15,7 @@
 )
 from radishmux.gateway.call import Call, Dialect, ExecutionReport
 from radishmux.gateway.fleet_state import FleetState
+from radishmux.gateway.load_exchange import LoadExchange
 from radishmux.gateway.rollouts import Rollouts
 from radishmux.gateway.send_permits import SendPermits
 from radishmux.gateway.server_connections import ServerConnections
@@ -101,6 +102,7 @@
         dialect: Translates the headers of servers.
         clock: Monotonic time.
         metrics: Counts the outcomes of attempts.
+        loads: Shares the loads of servers; None: they are not shared.
     """
 
     def __init__(
@@ -114,7 +116,9 @@
         dialect: Dialect,
         clock: Clock,
         metrics: Metrics,
+        loads: LoadExchange | None = None,
     ) -> None:
+        self._loads = loads
         self._metrics = metrics
         self._fleet = fleet
         self._placement = placement
@@ -257,6 +261,7 @@
         report = self._dialect.read_report(outcome)
         if report.load is not None:
             server_state.apply_load_report(report.load, now)
+            self._share_load(server, report, now)
         if report.is_leaving and not report.misdirected:
             self._record_leaving(server)
         self._record_limit(server, report)
@@ -273,6 +278,15 @@
         self._record_response(attempt, outcome, now - sent_at, now)
         return outcome
 
+    def _share_load(
+        self, server: Server, report: ExecutionReport, now: float
+    ) -> None:
+        """Lets the other instances know the load that a server reported."""
+        if self._loads is None or report.load is None or report.misdirected:
+            return
+        is_shed = report.verdict is Verdict.NOT_RUN and report.rest_s <= 0
+        self._loads.record_response(server, report.load, is_shed, now)
+
     async def _exchange(
         self, attempt: Attempt, server: Server
     ) -> ServerResponse | NoResponse:
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -277,6 +277,9 @@
   // Requests under which servers crashed.
   16: list<CrashRecord> crashes,
   17: list<RejectedVersion> rejected,
+  // Loads of backend servers that responses have told lately, as rows of a fixed
+  // length; see radishmux/steer/load_rows.py. At most 2 KB; absent: none.
+  20: optional binary server_loads,
 }
 
 // Requests tokens from a customer's token holder. The holder removes the granted
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -104,6 +104,10 @@
         link_mbps: Bandwidth of the machine.
         full_mesh_max: Up to this many instances, each exchanges reports with
             every other one; in larger fleets through hubs.
+        share_server_loads: Whether instances tell each other the loads of
+            backend servers and keep to a share of each server's slots and
+            queue. Null: only in fleets of more than `full_mesh_max`
+            instances.
         logs: Log output.
     """
 
@@ -119,6 +123,7 @@
     cores: float = 1.0
     link_mbps: float = 1_000.0
     full_mesh_max: int = FULL_MESH_MAX
+    share_server_loads: bool | None = None
     logs: LogSettings = LogSettings()
 
 
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 # Time over which a load report loses its weight, about the duration of two
 # requests. After that, the average of earlier reports is used.
@@ -24,6 +24,9 @@
 SHED_PAUSE_S = 0.06
 # Objects tracked per server; more than servers are known to keep warm.
 MAX_OBJECTS = 256
+# Latest requests whose times are kept, to know which of them are part of a load
+# that a peer reports: more than are sent to a small server before the report.
+_MAX_SENT_TIMES = 16
 
 
 class LoadReport:
@@ -65,6 +68,7 @@
         "_on_trial",
         "_other_load",
         "_other_load_at",
+        "_sent_times",
         "_slowness",
         "_slowness_at",
         "in_flight",
@@ -84,6 +88,7 @@
         self._other_load = 0.0
         self._mean_other_load = 0.0
         self._other_load_at = -math.inf
+        self._sent_times: deque[float] = deque(maxlen=_MAX_SENT_TIMES)
         self._slowness = 1.0
         self._slowness_at = 0.0
         self._failure_share = 0.0
@@ -148,6 +153,7 @@
         """Counts a request sent to the server."""
         self.in_flight += 1
         self.last_sent_at = now
+        self._sent_times.append(now)
 
     def record_end(self) -> None:
         """Counts the end of a request, regardless of its outcome."""
@@ -155,8 +161,37 @@
 
     def apply_load_report(self, report: LoadReport, now: float) -> None:
         """Applies a load report; call `record_end` for its request first."""
-        total = report.running + report.waiting
-        self._other_load = max(0.0, float(total - self.in_flight))
+        self._apply_total(report.running + report.waiting, self.in_flight, now)
+
+    def apply_peer_report(self, total: int, at: float) -> bool:
+        """Applies the load that the server told another instance.
+
+        Requests of this instance that were in flight at that time are not
+        counted twice. Those that have ended since count as others' requests
+        until the next report, so that the load is not underestimated.
+
+        Args:
+            total: Requests running and waiting at the server.
+            at: Monotonic time of the response, in seconds.
+
+        Returns:
+            Whether the report is newer than the known one.
+        """
+        if at <= self._other_load_at:
+            return False
+        sent_since = sum(sent_at > at for sent_at in self._sent_times)
+        self._apply_total(total, max(0, self.in_flight - sent_since), at)
+        return True
+
+    def _apply_total(self, total: int, own: int, now: float) -> None:
+        """Applies the requests at the server, `own` of them of this instance.
+
+        Args:
+            total: All requests at the server.
+            own: Requests of this instance among them.
+            now: Monotonic time of the response, in seconds.
+        """
+        self._other_load = max(0.0, float(total - own))
         # Reports in quick succession carry little new information.
         age_s = min(1e3, now - self._other_load_at)
         weight = 1.0 - math.exp(-age_s / MEAN_LOAD_S)
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -206,6 +206,20 @@
         "Values of the configuration that were withheld or replaced.",
     ),
     _gauge("gateway_peers_heard", "Instances heard lately."),
+    _gauge(
+        "gateway_server_loads_known",
+        "Backend servers whose load this instance has learned in the last 3 s,"
+        " from responses or reports.",
+    ),
+    _counter(
+        "gateway_server_load_rows_total",
+        "Loads of backend servers in reports that were newer than the known"
+        " ones.",
+    ),
+    _counter(
+        "gateway_server_load_bytes_total",
+        "Bytes of backend servers' loads in reports that were sent.",
+    ),
     _gauge(
         "gateway_store_fed",
         "Whether a hub passes the changes of the store on: 1 or 0.",
--- a/tests/gateway/test_gossip_state.py
+++ b/tests/gateway/test_gossip_state.py
@@ -15,6 +15,7 @@
 from radishmux.clock import ManualClock
 from radishmux.config.routing import CustomerPolicy
 from radishmux.gateway.gossip_state import Audience, GossipState
+from radishmux.gateway.load_exchange import LoadExchange
 from radishmux.membership.hubs import exchange_plan
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord
@@ -23,6 +24,10 @@
 from radishmux.shift.orders import RolloutOrder
 from radishmux.shift.rollout import Rollout
 from radishmux.shift.verdicts import VersionVerdict, VersionVerdicts
+from radishmux.steer.placement import Placement
+from radishmux.steer.server_state import LoadReport
+from radishmux.steer.servers import ServerTable
+from radishmux.telemetry.metrics import Metrics
 from tests.gateway import parts
 
 PERIOD_S = 0.5
@@ -53,7 +58,7 @@
 class Node:
     """One instance with the components that take part in the exchange."""
 
-    def __init__(self, record, records, clock):
+    def __init__(self, record, records, clock, sharing=None):
         self.record = record
         self.clock = clock
         self.peers = Peers(record)
@@ -66,6 +71,17 @@
         self.rollouts = Rollouts(record.instance)
         self.is_leaving = False
         self.crash_guard = parts.crash_guard(clock, record)
+        self.servers = ServerTable(parts.REGIONS)
+        self.servers.put(parts.entry("s1", slots=3), clock.now())
+        self.placement = Placement(record.region, record.failure_domain)
+        self.loads = LoadExchange(
+            record.region,
+            self.servers,
+            self.placement,
+            sharing,
+            clock,
+            Metrics(),
+        )
         self.gossip_state = GossipState(
             record,
             self.peers,
@@ -76,8 +92,12 @@
             clock,
             lambda: False,
             self.crash_guard,
+            self.loads,
         )
 
+    def load_of(self, name):
+        return self.placement.state(name).load(self.clock.now())
+
     @property
     def evidence(self):
         return self.rollouts.active["s"].evidence
@@ -91,13 +111,16 @@
         )
         silent_s = plan.silent_periods * PERIOD_S
         self.peers.set_monitored(plan.monitored, silent_s, now)
+        self.gossip_state.set_exchange(
+            plan.is_hub and not plan.is_mesh, not plan.is_mesh, PERIOD_S
+        )
         return plan
 
 
 class Fleet:
     """Instances that exchange reports in rounds of PERIOD_S."""
 
-    def __init__(self, size=30, regions="abc"):
+    def __init__(self, size=30, regions="abc", sharing=None):
         self.clock = ManualClock()
         records = [
             InstanceRecord(
@@ -113,7 +136,7 @@
             )
         ]
         self.nodes = {
-            record.instance: Node(record, records, self.clock)
+            record.instance: Node(record, records, self.clock, sharing)
             for record in records
         }
         self.dead = set()
@@ -397,3 +420,87 @@
     report.introductions = [messages.Introduction(**fields_of_peer)]
     first.gossip_state.apply_report(report, 1.0)
     assert first.peers.knows("stranger")
+
+
+def _full_server(fleet, reporter):
+    node = fleet.nodes[reporter]
+    server = node.servers.get("s1")
+    now = fleet.clock.now()
+    node.loads.record_response(server, LoadReport(3, 9, 3), True, now)
+
+
+def _members(fleet, region):
+    return [
+        name
+        for name, node in fleet.nodes.items()
+        if node.record.region == region and not node.plan().is_hub
+    ]
+
+
+def test_region_knows_a_full_server_after_two_rounds():
+    """Guards against a full server that each instance has to try itself."""
+    fleet = Fleet()
+    fleet.rounds(3)
+    reporter, *others = _members(fleet, "a")
+    _full_server(fleet, reporter)
+    fleet.rounds(2)
+    assert all(fleet.nodes[name].load_of("s1") > 6.0 for name in others)
+    # Nobody in region b uses the server.
+    assert fleet.nodes[_members(fleet, "b")[0]].load_of("s1") == 0.0
+
+
+def test_loads_are_shared_through_the_remaining_hub():
+    """Guards against a hub that dies with what its members reported to it."""
+    fleet = Fleet()
+    fleet.rounds(3)
+    hub = next(
+        name
+        for name, node in fleet.nodes.items()
+        if node.record.region == "a" and node.plan().is_hub
+    )
+    fleet.dead.add(hub)
+    reporter, *others = _members(fleet, "a")
+    _full_server(fleet, reporter)
+    fleet.rounds(2)
+    assert all(fleet.nodes[name].load_of("s1") > 6.0 for name in others)
+
+
+@pytest.mark.parametrize(
+    ("size", "sharing", "is_shared"),
+    [
+        (10, None, False),
+        (10, True, True),
+        (30, None, True),
+        (30, False, False),
+    ],
+)
+def test_loads_are_shared_where_the_settings_say(size, sharing, is_shared):
+    """Guards against changes in small fleets and where it is switched off."""
+    fleet = Fleet(size, "a", sharing)
+    fleet.rounds(3)
+    reporter = "i09"
+    _full_server(fleet, reporter)
+    fleet.rounds(2)
+    for name, node in fleet.nodes.items():
+        if name != reporter:
+            assert (node.load_of("s1") > 6.0) is is_shared
+
+
+def test_report_of_a_later_build_is_read_by_an_older_one():
+    """Old builds run beside new ones and do not know the loads."""
+    path = importlib.resources.files("radishmux.peer") / "peer.thrift"
+    text = path.read_text()
+    start = text.index("  // Loads of backend servers that responses")
+    end = text.index("server_loads,") + len("server_loads,\n")
+    older = thriftpy2.load_fp(
+        io.StringIO(text[:start] + text[end:]), "older_loads_thrift"
+    )
+    report = messages.FleetReport(
+        instance="i1", incarnation=1, server_loads=b"\x01\0\0"
+    )
+    envelope = messages.Envelope(body=messages.wrap(report))
+    decoded = deserialize(
+        older.Envelope(), messages.encode(envelope), TCyBinaryProtocolFactory()
+    )
+    assert decoded.body.fleet_report.instance == "i1"
+    assert not hasattr(decoded.body.fleet_report, "server_loads")
