--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -109,6 +109,10 @@
         hedge_by_durations: Whether second attempts start when the measured
             durations of the route show that they save time; otherwise after a
             multiple of the expected duration.
+        share_server_loads: Whether instances tell each other the loads of
+            backend servers and keep to a share of each server's slots and
+            queue. Null: only in fleets of more than `full_mesh_max`
+            instances.
         logs: Log output.
     """
 
@@ -125,6 +129,7 @@
     link_mbps: float = 1_000.0
     full_mesh_max: int = FULL_MESH_MAX
     hedge_by_durations: bool = False
+    share_server_loads: bool | None = None
     logs: LogSettings = LogSettings()
 
 
