Let requests wait for room and admit by class under shortage

In a burst above the capacity of a service's warm servers, requests for which no server could be chosen were refused at once, although a place was often free some milliseconds later; the callers came back and were refused again. The priority of routes and customers decided nothing.

Requests that can still be served in time now wait in a bounded room, by class with a guaranteed minimum, customer and time left. Under shortage the queues of servers are kept for urgent classes and for warm work.

--- a/scripts/reference.py
+++ b/scripts/reference.py
@@ -45,6 +45,7 @@
     gateway.GatewayListen,
     gateway.GatewayStore,
     gateway.Bounds,
+    gateway.AdmissionSettings,
 )
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
 
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -38,8 +38,10 @@
 from radishmux.gateway.send_permits import SendPermits
 from radishmux.gateway.sender import ServerSender
 from radishmux.gateway.server_chooser import ServerChooser
+from radishmux.gateway.shortage_log import ShortageLog
 from radishmux.gateway.token_log import TokenLog
 from radishmux.gateway.verdict_archive import VerdictArchive
+from radishmux.gateway.waiting_requests import WaitingRequests
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.pipelined import MAX_HELD_BYTES, PipelinedServer
 from radishmux.http.response import Response
@@ -91,6 +93,7 @@
         self._members: frozenset[str] = frozenset()
         self._callers: PipelinedServer | None = None
         self._relay_server: PipelinedServer | None = None
+        self._waiting: WaitingRequests | None = None
         self._record = InstanceRecord(
             instance=settings.instance,
             incarnation=time.time_ns() // 1_000_000,
@@ -157,6 +160,8 @@
         if self._relay_server is not None:
             self._relay_server.drain()
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
+        if self._waiting is not None:
+            self._waiting.stop_by(started_at + grace_s)
         await asyncio.sleep(min(_CALLER_NOTICE_S, grace_s / 2))
         self._callers.stop_listening()
         # Those that were accepted since, and on which no request has come.
@@ -354,6 +359,14 @@
             self._record, self._peers, clock, self._metrics
         )
         stack.push_async_callback(self._relay.close)
+        if settings.admission.max_waiting > 0:
+            self._waiting = WaitingRequests(
+                chooser,
+                self._contact,
+                settings.admission,
+                clock,
+                ShortageLog(self._metrics),
+            )
         flow = RequestFlow(
             self._fleet,
             chooser,
@@ -366,6 +379,7 @@
             decision_log,
             self._contact,
             self._relay,
+            self._waiting,
         )
         relay_service = RelayService(
             self._record,
@@ -451,6 +465,8 @@
         metrics.set("gateway_server_response_age_seconds", response_age_s)
         suspected = self._crash_guard.suspected_count
         metrics.set("gateway_requests_suspected", suspected)
+        waiting = self._waiting.count if self._waiting is not None else 0
+        metrics.set("gateway_requests_waiting", waiting)
         metrics.set("gateway_servers_limited", self._limits.limited_count)
         routes = self._fleet.routes
         problems = routes.configuration.problems if routes else ()
--- a/src/radishmux/gateway/decision_log.py
+++ b/src/radishmux/gateway/decision_log.py
@@ -139,6 +139,9 @@
         if state is not None:
             line["route"] = state.route.name
             line["service"] = state.service
+            line["priority"] = state.priority
+            if state.refused_for:
+                line["no_room"] = state.refused_for
             if state.customer is not None:
                 line["customer"] = state.customer.name
             line["attempts"] = [
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -27,6 +27,7 @@
 from radishmux.gateway.retry_budgets import RetryBudgets
 from radishmux.gateway.sender import Attempt, ServerSender
 from radishmux.gateway.server_chooser import ServerChooser
+from radishmux.gateway.waiting_requests import WaitingRequests
 from radishmux.http.incoming import (
     CALLER_LEFT,
     CANCELLED,
@@ -76,6 +77,7 @@
         log: Records each request that has ended.
         contact: Whether this instance reaches the servers.
         relay: Sends requests through peers while it does not.
+        waiting: Lets requests wait for room; None refuses them at once.
     """
 
     def __init__(
@@ -91,7 +93,9 @@
         log: DecisionLog,
         contact: ServerContact,
         relay: RequestRelay,
+        waiting: WaitingRequests | None = None,
     ) -> None:
+        self._waiting = waiting
         self._contact = contact
         self._relay = relay
         self._fleet = fleet
@@ -179,6 +183,8 @@
             call.received_at + timeout_s,
         )
         self._retry_budgets.record_first_attempt(state.service, now)
+        if self._waiting is not None:
+            self._waiting.record_arrival(state, now)
         return state
 
     async def _wait_for_routes(self) -> HostRoutes | None:
@@ -255,8 +261,14 @@
             # Not considered again until the attempt in flight has ended.
             group.next_attempt_at = math.inf
         if now >= group.next_attempt_at and self._may_try_again(state):
-            choice, helper = self._choose_way(state, now)
-            reason = self._check_attempt(state, choice, helper, now)
+            choice, helper, reason = None, None, "in_turn"
+            if (
+                self._waiting is None
+                or group.tasks
+                or not self._waiting.holds_back(state, now)
+            ):
+                choice, helper = self._choose_way(state, now)
+                reason = self._check_attempt(state, choice, helper, now)
             if helper is not None and reason is None:
                 group.next_attempt_at = self._hedge_at(
                     self._chooser.expected_cold_s(state), now
@@ -274,6 +286,11 @@
                 expected_s = choice.expected_s if choice else math.inf
                 if reason == CRASHES:
                     return self._give_up(state, CRASHES)
+                if self._waiting is not None:
+                    reason = self._waiting.enter(state, reason or "", now)
+                    if state.waiter is not None:
+                        return None
+                    self._waiting.record_refusal(state, reason)
                 detail = self._chooser.describe_rejection(
                     state, choice, reason or "", now
                 )
@@ -290,6 +307,12 @@
         Returns:
             The answer for the caller if an attempt gave one, else None.
         """
+        if self._waiting is not None and state.waiter is not None:
+            reason = await self._waiting.wait(state)
+            if reason:
+                self._waiting.record_refusal(state, reason)
+                return self._give_up(state, reason)
+            return None
         now = self._clock.now()
         until = state.deadline
         if self._may_try_again(state):
@@ -301,6 +324,8 @@
         )
         for task in done:
             outcome = task.result()
+            if self._waiting is not None:
+                self._waiting.record_end(state, outcome)
             response = self._handle_outcome(state, outcome)
             if response is not None:
                 return response
@@ -368,6 +393,8 @@
     ) -> asyncio.Task[ServerResponse | NoResponse]:
         state.tried_servers.append(choice.server.name)
         state.choices.append(choice)
+        if self._waiting is not None:
+            self._waiting.record_attempt(state, choice, self._clock.now())
         attempt = Attempt(
             call=state.call,
             route=state.route,
@@ -505,6 +532,8 @@
         pause_s = min(max_pause_s, max(MIN_RETRY_AFTER_S, expected_s - left_s))
         # Jitter, so that callers refused together do not return together.
         pause_s *= 0.5 + 0.5 * random.random()
+        if self._waiting is not None:
+            pause_s = self._waiting.pause_s(state, now) or pause_s
         return self._refuse(
             state.call, "not_servable", state, pause_s, detail=reason
         )
--- a/src/radishmux/gateway/request_state.py
+++ b/src/radishmux/gateway/request_state.py
@@ -6,7 +6,9 @@
 from radishmux.dispatch.request_digest import request_digest
 from radishmux.dispatch.server_response import ServerResponse
 from radishmux.gateway.call import Call
+from radishmux.shift.rollout import ANY_VERSION
 from radishmux.steer.placement import Choice
+from radishmux.steer.waiting_room import Waiter
 
 # The regions of a request whose route and customer have no home region in
 # common. No region has this name; an empty set would allow all regions.
@@ -21,6 +23,9 @@
         route: Its route.
         customer: Its customer; None if the request needs no key.
         service: Service that was chosen among the route's destinations.
+        priority: Its priority class, the customer's before the route's; 0 is
+            the most urgent.
+        rule: Versions that the latest choice of a server allowed.
         regions: Regions that may serve it; empty means all.
         deadline: Monotonic time until which an answer is useful.
         digest: The same for equal requests of the customer, whichever service
@@ -38,8 +43,13 @@
         ended_attempts: Number of attempts that have ended.
         unused_retries: Retries that the budget allowed and that were not sent.
         is_withheld: Whether it must not run, since it crashes servers.
+        is_released: Whether there was room when it stopped waiting.
+        waiter: Its place in the waiting room; None if it does not wait.
+        waits_until: Monotonic time until which it may wait for room; None if
+            it has not waited.
         may_have_run: Whether a server may have run it.
         last_response: Latest response of a server that ran it, or None.
+        refused_for: Why it was refused for lack of room; empty if it was not.
         failure_reason: Why the latest attempt failed; empty if none did.
     """
 
@@ -53,17 +63,23 @@
         "ended_attempts",
         "failed_helpers",
         "failure_reason",
+        "is_released",
         "is_withheld",
         "last_response",
         "may_have_run",
+        "priority",
+        "refused_for",
         "regions",
         "relayed_via",
         "route",
+        "rule",
         "service",
         "service_digest",
         "tried_servers",
         "unavailable_servers",
         "unused_retries",
+        "waiter",
+        "waits_until",
     )
 
     def __init__(
@@ -78,6 +94,10 @@
         self.route = route
         self.customer = customer
         self.service = service
+        self.rule = ANY_VERSION
+        self.priority = route.priority
+        if customer is not None and customer.priority is not None:
+            self.priority = customer.priority
         self.regions = route.home_regions
         if customer is not None and customer.home_regions:
             homes = customer.home_regions
@@ -104,6 +124,10 @@
         self.ended_attempts = 0
         self.unused_retries = 0
         self.is_withheld = False
+        self.is_released = False
+        self.waiter: Waiter | None = None
+        self.waits_until: float | None = None
         self.may_have_run = False
         self.last_response: ServerResponse | None = None
+        self.refused_for = ""
         self.failure_reason = ""
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -189,6 +189,15 @@
         """Whether a server may get a request now; cold ones have a limit."""
         return not server.is_cold(now) or self._cold_limiter.allows(server, now)
 
+    def accepted_per_s(self, server: Server, now: float) -> float:
+        """Returns the requests per second that a server may get.
+
+        It is inf unless the server is cold.
+        """
+        if not server.is_cold(now):
+            return math.inf
+        return self._cold_limiter.rate_per_s(server)
+
     def needs_permit(self, server: Server) -> bool:
         """Whether a server names a limit, so that requests may be denied."""
         return self._permits.is_required(server)
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from radishmux.config.routing import RouteKind
 from radishmux.dispatch.crash_history import CrashVerdict
@@ -18,9 +18,19 @@
     PlacementRequest,
     object_key,
 )
+from radishmux.steer.server_state import SHED_PAUSE_S
 from radishmux.steer.servers import Server
 
 MayUse = Callable[[RequestState, Server, float], bool]
+Place = Callable[
+    [
+        PlacementRequest,
+        Sequence[Server],
+        Callable[[Server], bool],
+        float,
+    ],
+    Choice | None,
+]
 
 # Limited servers that a request asks for, one after the other. Each question
 # takes up to a round trip between regions, and a request that is denied several
@@ -28,6 +38,22 @@
 MAX_DENIALS = 3
 
 
+class Outlook:
+    """When servers may have room for a request that none can take now.
+
+    Attributes:
+        is_expected: Whether a server is only full, so that it will have room.
+        accepted_per_s: Requests per second that the servers accept from this
+            instance because they are cold; inf if one of them is warm.
+    """
+
+    __slots__ = ("accepted_per_s", "is_expected")
+
+    def __init__(self, is_expected: bool, accepted_per_s: float) -> None:
+        self.is_expected = is_expected
+        self.accepted_per_s = accepted_per_s
+
+
 class ServerChooser:
     """Chooses among the servers that a request may go to.
 
@@ -66,13 +92,47 @@
             only_reachable: Whether servers are left out to which no connection
                 is open, while no new one can be opened.
         """
+        state.rule = self._rollouts.next_rule(
+            state.service, state.route.name, now
+        )
+        may_use = self._may_use_reachable if only_reachable else self._may_use
+        return self._choose(self._placement.choose, state, may_use, now)
+
+    def preview(self, state: RequestState, now: float) -> Choice | None:
+        """Returns the server that an attempt would get, or None.
+
+        Counts nothing, so that it may be asked repeatedly. The versions are
+        those that the latest choice for the request allowed.
+        """
+        return self._choose(self._placement.preview, state, self._may_use, now)
+
+    def _choose(
+        self, place: Place, state: RequestState, may_use: MayUse, now: float
+    ) -> Choice | None:
+        rule = state.rule
+        placement_request = self._placement_request(state, now)
+        if self._guard.is_marked(state.digest):
+            may_use = self._unless_withheld(may_use)
+        choice = self._choose_with_rule(
+            place, rule, state, placement_request, may_use, now
+        )
+        if choice is None and rule.only is not None:
+            # No server of the rule's version can take the request.
+            choice = self._choose_with_rule(
+                place, rule.fallback(), state, placement_request, may_use, now
+            )
+        return choice
+
+    def _placement_request(
+        self, state: RequestState, now: float
+    ) -> PlacementRequest:
         route = state.route
         key = None
         if route.affinity and state.call.affinity is not None:
             key = object_key(route.name, state.call.affinity)
         work = self._placement.work_times(state.service, route.name)
         target_s = state.call.received_at + route.target_latency_s - now
-        placement_request = PlacementRequest(
+        return PlacementRequest(
             state.service,
             route.name,
             key,
@@ -83,29 +143,17 @@
             left_s=state.deadline - now,
             is_retry=bool(state.tried_servers),
         )
-        rule = self._rollouts.next_rule(state.service, route.name, now)
-        may_use = self._may_use_reachable if only_reachable else self._may_use
-        if self._guard.is_marked(state.digest):
-            may_use = self._unless_withheld(may_use)
-        choice = self._choose_with_rule(
-            rule, state, placement_request, may_use, now
-        )
-        if choice is None and rule.only is not None:
-            # No server of the rule's version can take the request.
-            choice = self._choose_with_rule(
-                rule.fallback(), state, placement_request, may_use, now
-            )
-        return choice
 
     def _choose_with_rule(
         self,
+        place: Place,
         rule: VersionRule,
         state: RequestState,
         placement_request: PlacementRequest,
         may_use: MayUse,
         now: float,
     ) -> Choice | None:
-        return self._placement.choose(
+        return place(
             placement_request,
             self._fleet.usable_servers(state.service, state.regions, rule),
             lambda server: may_use(state, server, now),
@@ -160,6 +208,36 @@
         """Whether two servers may run a request at the same time."""
         return not self._guard.is_marked(state.digest)
 
+    def expected_warm_s(self, state: RequestState) -> float:
+        """Returns the time that a server takes if the object is warm."""
+        route = state.route.name
+        return self._placement.work_times(state.service, route).warm_s
+
+    def outlook(self, state: RequestState, now: float) -> Outlook:
+        """Returns when a server may have room that has none now.
+
+        Servers that are being asked for nothing because of failures are not
+        expected to have room.
+        """
+        servers = self._fleet.usable_servers(
+            state.service, state.regions, ANY_VERSION
+        )
+        is_expected = False
+        cold_per_s = 0.0
+        for server in servers:
+            if (
+                server.name in state.tried_servers
+                or server.name in state.unavailable_servers
+            ):
+                continue
+            paused_until = self._placement.state_of(server).unavailable_until
+            if paused_until > now + SHED_PAUSE_S:
+                continue
+            per_s = self._sender.accepted_per_s(server, now)
+            is_expected |= per_s > 0.0
+            cold_per_s += per_s
+        return Outlook(is_expected, cold_per_s)
+
     def expected_cold_s(self, state: RequestState) -> float:
         """Returns the time that a server takes if the object is cold."""
         route = state.route.name
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -87,6 +87,23 @@
     lookup_ttl_s: float = 5.0
 
 
+class AdmissionSettings(_Settings, kw_only=True):
+    """Waiting and admission while a service is short of capacity.
+
+    Attributes:
+        max_waiting: Most requests of a service that wait for room at one
+            instance; 0 turns waiting and admission off.
+        max_waiting_bytes: Most bytes of the bodies of waiting requests, which
+            are part of the memory for the bodies of all requests.
+        class_floor: Share of what a service takes that each less urgent class
+            keeps.
+    """
+
+    max_waiting: int = 0
+    max_waiting_bytes: int = 16 * 1024 * 1024
+    class_floor: float = 0.1
+
+
 class GatewaySettings(_Settings, kw_only=True):
     """Content of the gateway daemon's settings file.
 
@@ -99,6 +116,7 @@
         listen: Addresses that the daemon listens on.
         store: The platform's store.
         bounds: Limits that operators require.
+        admission: Waiting and admission while a service is short of capacity.
         cpu_share: Share of each core that the process may use.
         cores: Speed of the machine's cores relative to a usual one.
         link_mbps: Bandwidth of the machine.
@@ -115,6 +133,7 @@
     listen: GatewayListen
     store: GatewayStore
     bounds: Bounds = Bounds()
+    admission: AdmissionSettings = AdmissionSettings()
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
--- a/src/radishmux/steer/cold_pace.py
+++ b/src/radishmux/steer/cold_pace.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 from radishmux.rendezvous import rank
 from radishmux.steer.servers import Server
 
@@ -52,6 +54,18 @@
         """
         self._rates = rates
 
+    def rate_per_s(self, server: Server) -> float:
+        """Returns this instance's requests per second to a cold server.
+
+        It is inf without a limit, and 0 if other instances send to the server.
+        """
+        rate = self._rates.get(server.entry.service, 0.0)
+        if rate <= 0:
+            return math.inf
+        if not self._may_send_to(server.name):
+            return 0.0
+        return USED_RATE_SHARE * rate / SENDERS_PER_SERVER
+
     def allows(self, server: Server, now: float) -> bool:
         """Returns whether a request may be sent to a cold server now."""
         rate = self._rates.get(server.entry.service, 0.0)
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -265,18 +265,50 @@
             else in_home_region
         )
 
+    def preview(
+        self,
+        request: PlacementRequest,
+        servers: Sequence[Server],
+        may_use: Callable[[Server], bool],
+        now: float,
+    ) -> Choice | None:
+        """Returns the cheapest server like `choose`, but counts no request.
+
+        The arguments are those of `choose`. A limit on requests that leave
+        their region is not regarded.
+        """
+        place = None
+        cheapest = None
+        if not servers:
+            return None
+        if request.key is not None:
+            place = self._places_of(request.service, now).place(
+                request.key, servers, request.transfer_bytes
+            )
+            _, cheapest = self._find_cheapest(
+                request, place.candidates, may_use, place, self._region, now
+            )
+        if cheapest is None or cheapest.expected_s > request.left_s:
+            _, cheapest = self._find_cheapest(
+                request, servers, may_use, place, self._region, now
+            )
+        return cheapest
+
+    def _places_of(self, service: str, now: float) -> ObjectPlaces:
+        places = self._places.get(service)
+        if places is None:
+            places = self._places[service] = ObjectPlaces(
+                self._region, self._failure_domain, now, self._regions
+            )
+        return places
+
     def _locate_object(
         self, request: PlacementRequest, servers: Sequence[Server], now: float
     ) -> ObjectPlace | None:
         """Counts a request and returns the place of its object."""
         if request.key is None:
             return None
-        places = self._places.get(request.service)
-        if places is None:
-            places = ObjectPlaces(
-                self._region, self._failure_domain, now, self._regions
-            )
-            self._places[request.service] = places
+        places = self._places_of(request.service, now)
         place = places.place(request.key, servers, request.transfer_bytes)
         nearer = place.homes.by_level[Level.REGION]
         busy = self.state_of(nearer).load(now) / nearer.entry.slots
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -127,6 +127,15 @@
         "outcome",
         "status",
     ),
+    _counter(
+        "gateway_no_room_total",
+        "Requests refused because no server had room in time, by priority"
+        " class and reason.",
+        "service",
+        "priority",
+        "reason",
+    ),
+    _gauge("gateway_requests_waiting", "Requests that wait for room."),
     _histogram(
         "gateway_request_seconds",
         "Time from a request's header to its answer.",
