--- a/src/radishmux/gateway/waiting_requests.py
+++ b/src/radishmux/gateway/waiting_requests.py
@@ -130,7 +130,7 @@
         target_at = state.call.received_at + state.route.target_latency_s
         # A target that the request can meet nowhere shows no shortage.
         if choice.is_queued and now + choice.expected_s > target_at:
-            admission.record_sign(now)
+            admission.record_sign(state.priority, now)
 
     def record_end(
         self, state: RequestState, outcome: ServerResponse | NoResponse
@@ -140,7 +140,7 @@
         service = self._service(state)
         if isinstance(outcome, NoResponse):
             if outcome.reason.startswith(_SHED):
-                service.admission.record_sign(now)
+                service.admission.record_sign(state.priority, now)
         else:
             service.admission.record_completion(state.priority, now)
         if len(service.room):
@@ -160,8 +160,8 @@
         if len(service.room):
             return True
         choice = self._chooser.preview(state, now)
-        return choice is not None and not service.admission.admits(
-            state.priority, choice, now
+        return choice is not None and not self._admits(
+            service, state, choice, 0.0, now
         )
 
     def enter(self, state: RequestState, reason: str, now: float) -> str:
@@ -182,7 +182,7 @@
         ):
             return reason
         service = self._service(state)
-        service.admission.record_sign(now)
+        service.admission.record_sign(state.priority, now)
         outlook = self._chooser.outlook(state, now)
         if not outlook.is_expected:
             return reason
@@ -198,6 +198,7 @@
             left_s = state.deadline - now
             state.waits_until = now + MAX_WAIT_SHARE * left_s
         waiter = Waiter(
+            now,
             state.priority,
             state.customer.name if state.customer else "",
             state.deadline,
@@ -249,6 +250,19 @@
         state.refused_for = reason
         self._log.count_refusal(state.service, state.priority, reason)
 
+    @staticmethod
+    def _admits(
+        service: _Service,
+        state: RequestState,
+        choice: Choice,
+        waited: float,
+        now: float,
+    ) -> bool:
+        target_at = state.call.received_at + state.route.target_latency_s
+        return service.admission.admits(
+            state.priority, choice, target_at - now, waited, now
+        )
+
     def _reason_to_leave(self) -> str:
         return "waited" if self._stop_at == math.inf else "stopping"
 
@@ -366,7 +380,9 @@
         if (
             choice is None
             or now + choice.expected_s >= state.deadline
-            or not service.admission.admits(state.priority, choice, now)
+            or not self._admits(
+                service, state, choice, waiter.waited(now), now
+            )
         ):
             return ""
         return choice.server.name
--- a/src/radishmux/steer/admission.py
+++ b/src/radishmux/steer/admission.py
@@ -27,15 +27,18 @@
 MIN_SIGN_SHARE = 0.1
 # Shortest time over which a rate is measured.
 _MIN_RATE_S = 0.5
-# Load relative to the slots up to which a server takes requests of the least
-# urgent class under shortage: they begin to run at once.
-LEAST_URGENT_LOAD = 1.0
+# Load relative to the slots up to which a server takes requests that would run
+# cold there under shortage: they begin to run at once.
+MAX_COLD_LOAD = 1.0
+# The same for requests of the least urgent class: one slot's worth of queue.
+LEAST_URGENT_LOAD = 2.0
 # What the second most urgent of many classes may use beyond that, as a multiple
 # of the slots. The rest of the queue is left to the most urgent class.
 SHARED_QUEUE = 1.0
 
-_ARRIVED = "arrived"
-_SIGN = "sign"
+# Share of the target latency that the queues of servers are kept shorter for
+# the least urgent class, so that the most urgent one still meets its target.
+RESERVED_TARGET_SHARE = 0.25
 
 
 class ServiceAdmission:
@@ -48,22 +51,28 @@
     def __init__(self, floor: float = DEFAULT_FLOOR) -> None:
         self._completed = SlidingCount(WINDOW_S)
         self._demand = SlidingCount(WINDOW_S)
-        self._recent = SlidingCount(SHORTAGE_WINDOW_S)
+        # Arrivals, and signs of shortage by class.
+        self._arrivals = SlidingCount(SHORTAGE_WINDOW_S)
+        self._signs = SlidingCount(SHORTAGE_WINDOW_S)
         self._min_share = floor
         self._floor = ClassFloor(floor)
 
     def record_arrival(self, priority: int, now: float) -> None:
         """Records a request that is to be served."""
         self._demand.add(priority, now)
-        self._recent.add(_ARRIVED, now)
+        self._arrivals.add(priority, now)
 
-    def record_sign(self, now: float) -> None:
+    def record_sign(self, priority: int, now: float) -> None:
         """Records a sign of shortage.
 
         Signs are a rejection by a server, a request that no server can take,
         and one whose expected time is above the target latency.
+
+        Args:
+            priority: Class of the request that shows it.
+            now: Monotonic seconds.
         """
-        self._recent.add(_SIGN, now)
+        self._signs.add(priority, now)
 
     def record_completion(self, priority: int, now: float) -> None:
         """Records a response of a server that ran a request."""
@@ -76,9 +85,11 @@
 
     def is_short(self, now: float) -> bool:
         """Returns whether the service lacks capacity."""
-        counts = self._recent.counts(now)
-        signs = counts[_SIGN]
-        return signs >= max(MIN_SIGNS, MIN_SIGN_SHARE * counts[_ARRIVED])
+        signs = sum(self._signs.counts(now).values())
+        if signs < MIN_SIGNS:
+            return False
+        arrivals = sum(self._arrivals.counts(now).values())
+        return signs >= MIN_SIGN_SHARE * arrivals
 
     def rate_per_s(self, priority: int, now: float) -> float:
         """Returns the completions per second that a class can count on.
@@ -102,21 +113,43 @@
         classes = sorted({*self._demand.counts(now), priority})
         return classes.index(priority) / max(1, len(classes) - 1)
 
-    def admits(self, priority: int, choice: Choice, now: float) -> bool:
+    def admits(
+        self,
+        priority: int,
+        choice: Choice,
+        target_s: float,
+        waited: float,
+        now: float,
+    ) -> bool:
         """Returns whether a request may be sent to a server now.
 
         Args:
             priority: Class of the request.
             choice: The server that it would be sent to.
+            target_s: Time left until its target latency is missed.
+            waited: Share of the longest wait that it has waited already, from
+                0 to 1. The bounds grow with it, so that nobody waits only to
+                be refused while servers have room in their queues.
             now: Monotonic seconds.
         """
         if not self.is_short(now):
             return True
+        reserve = 0.0
+        if self._yields(priority, now):
+            reserve = RESERVED_TARGET_SHARE * self.rank(priority, now)
+            reserve *= 1.0 - waited
+        if choice.expected_s <= target_s * (1.0 - reserve):
+            return True
         max_load = self._max_load(priority, now)
         if not choice.known_warm and not choice.is_home:
             # Must not wait in a queue to run cold.
-            max_load = min(max_load, LEAST_URGENT_LOAD)
-        return choice.load + 1 <= max_load * choice.server.entry.slots
+            max_load = min(max_load, MAX_COLD_LOAD)
+        slots = choice.server.entry.slots
+        return (choice.load + 1) * (1.0 - waited) <= max_load * slots
+
+    def _yields(self, priority: int, now: float) -> bool:
+        """Returns whether a more urgent class lacks capacity."""
+        return any(one < priority for one in self._signs.counts(now))
 
     def _max_load(self, priority: int, now: float) -> float:
         """Returns the load relative to the slots up to which a class is sent.
@@ -124,7 +157,7 @@
         Servers reject what their queues cannot hold; the urgent ones and the
         guaranteed minimum of the others are not bounded here.
         """
-        rank = self.rank(priority, now)
-        if rank == 0.0 or self._floor.is_owed(priority):
+        if not self._yields(priority, now) or self._floor.is_owed(priority):
             return math.inf
+        rank = self.rank(priority, now)
         return LEAST_URGENT_LOAD + SHARED_QUEUE * (1.0 - rank)
--- a/src/radishmux/steer/waiting_room.py
+++ b/src/radishmux/steer/waiting_room.py
@@ -22,6 +22,7 @@
     """A request that waits.
 
     Attributes:
+        entered_at: Monotonic time since which it waits.
         priority: Priority class; 0 is the most urgent.
         customer: Name of its customer; empty without one.
         deadline: Monotonic time until which an answer is useful.
@@ -35,6 +36,7 @@
     __slots__ = (
         "customer",
         "deadline",
+        "entered_at",
         "leave_at",
         "needed_s",
         "priority",
@@ -44,6 +46,7 @@
 
     def __init__(
         self,
+        entered_at: float,
         priority: int,
         customer: str,
         deadline: float,
@@ -51,6 +54,7 @@
         size: int = 0,
         leave_at: float = math.inf,
     ) -> None:
+        self.entered_at = entered_at
         self.priority = priority
         self.customer = customer
         self.deadline = deadline
@@ -59,6 +63,13 @@
         self.leave_at = min(leave_at, deadline - needed_s)
         self.probe_at = -math.inf
 
+    def waited(self, now: float) -> float:
+        """Returns the share of its longest wait that is over, from 0 to 1."""
+        longest_s = self.leave_at - self.entered_at
+        if longest_s <= 0.0:
+            return 1.0
+        return min(1.0, max(0.0, (now - self.entered_at) / longest_s))
+
 
 class ClassFloor:
     """Guarantees each class with demand a share of what is taken.
