--- a/src/radishmux/cli/main.py
+++ b/src/radishmux/cli/main.py
@@ -10,6 +10,7 @@
     inspect_commands,
     key_commands,
     label_commands,
+    refusal_commands,
     request_commands,
     settings_commands,
     shift_commands,
@@ -38,6 +39,7 @@
 app.command()(inspect_commands.report)
 app.command()(request_commands.request)
 app.command()(crash_commands.crashes)
+app.command()(refusal_commands.refusals)
 
 
 def main() -> None:
--- a/src/radishmux/gateway/waiting_requests.py
+++ b/src/radishmux/gateway/waiting_requests.py
@@ -186,7 +186,12 @@
         outlook = self._chooser.outlook(state, now)
         if not outlook.is_expected:
             return reason
-        needed_s = self._chooser.expected_warm_s(state)
+        is_cold = outlook.accepted_per_s < math.inf
+        needed_s = (
+            self._chooser.expected_cold_s(state)
+            if is_cold
+            else self._chooser.expected_warm_s(state)
+        )
         rate_per_s = min(
             outlook.accepted_per_s,
             service.admission.rate_per_s(state.priority, now) or math.inf,
@@ -380,9 +385,7 @@
         if (
             choice is None
             or now + choice.expected_s >= state.deadline
-            or not self._admits(
-                service, state, choice, waiter.waited(now), now
-            )
+            or not self._admits(service, state, choice, waiter.waited(now), now)
         ):
             return ""
         return choice.server.name
--- a/tests/gateway/crowded_fleet.py
+++ b/tests/gateway/crowded_fleet.py
@@ -151,12 +151,10 @@
         servers: Slots of each server.
         seed: Seed of all random numbers.
         max_waiting: Size of the waiting rooms; 0 for none.
-        seen_at: When the servers joined.
+        cold_s: Time for which all servers are cold.
     """
 
-    def __init__(
-        self, loop, instances, servers, seed, max_waiting, seen_at=-100.0
-    ):
+    def __init__(self, loop, instances, servers, seed, max_waiting, cold_s=0.0):
         random.seed(seed)
         self.loop = loop
         self.rng = random.Random(seed)
@@ -181,14 +179,19 @@
         }
         events = [
             *(
-                ServerPut(name, server.record.entry)
-                for name, server in self.servers.items()
+                ServerPut(
+                    name,
+                    parts.entry(name, slots=slots, cold_remaining_s=cold_s),
+                )
+                for name, slots in zip(self.servers, servers, strict=True)
             ),
             ConfigurationPut(parts.configuration(*routes)),
         ]
         names = frozenset(f"i{n}" for n in range(instances))
         self.flows = [
-            self._flow(name, names, events, max_waiting, seen_at)
+            self._flow(
+                name, names, events, max_waiting, 0.0 if cold_s else -100.0
+            )
             for name in sorted(names)
         ]
 
--- a/tests/gateway/test_waiting_requests.py
+++ b/tests/gateway/test_waiting_requests.py
@@ -160,5 +160,5 @@
             assert (await send_request(flow)).status == 200
         if number == 5:
             admission = flow._waiting._services["s"].admission
-            admission.record_sign(flow._clock.now())
+            admission.record_sign(0, flow._clock.now())
     assert flow._waiting._timer is None
