Add the duty that reports the usage of all customers

Callers see no change. One instance, which the store elects, sums what all instances have sent to servers in each window and reports it to the platform.

--- a/src/radishmux/cli/main.py
+++ b/src/radishmux/cli/main.py
@@ -7,6 +7,7 @@
 from radishmux.cli import (
     config_commands,
     crash_commands,
+    duty_commands,
     inspect_commands,
     key_commands,
     label_commands,
@@ -38,6 +39,7 @@
 app.command()(inspect_commands.report)
 app.command()(request_commands.request)
 app.command()(crash_commands.crashes)
+app.command()(duty_commands.duties)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/radishmux/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Work that one instance at a time does on behalf of the whole fleet."""
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -13,17 +13,20 @@
 from radishmux.clock import SystemClock
 from radishmux.config.routing import CallerLimits
 from radishmux.dispatch.crash_history import CrashHistory
+from radishmux.duties.clocks import SystemDutyClock
 from radishmux.gateway.contact_monitor import ContactMonitor
 from radishmux.gateway.crash_archive import CrashArchive
 from radishmux.gateway.crash_detector import CrashDetector
 from radishmux.gateway.crash_guard import CrashGuard
 from radishmux.gateway.decision_log import DecisionLog
+from radishmux.gateway.duties import UsageDuty
 from radishmux.gateway.events import (
     ConfigurationPut,
     Event,
     InstancePut,
     StoreListed,
 )
+from radishmux.gateway.fleet_clock import FleetClock
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.gossip_state import GossipState
 from radishmux.gateway.guarded_sender import GuardedSender
@@ -39,6 +42,7 @@
 from radishmux.gateway.sender import ServerSender
 from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.gateway.token_log import TokenLog
+from radishmux.gateway.usage_exchange import HAND_OVER_S
 from radishmux.gateway.verdict_archive import VerdictArchive
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.pipelined import MAX_HELD_BYTES, PipelinedServer
@@ -49,6 +53,7 @@
 from radishmux.peer.bus import PeerBus
 from radishmux.platform import dialect, keys
 from radishmux.platform.directory import DirectoryHandler, ReadyHandler
+from radishmux.platform.duties_api import DutiesApi
 from radishmux.platform.store import PlatformStore
 from radishmux.settings.gateway import GatewaySettings
 from radishmux.share.fleet_rate import FleetRates
@@ -91,6 +96,7 @@
         self._members: frozenset[str] = frozenset()
         self._callers: PipelinedServer | None = None
         self._relay_server: PipelinedServer | None = None
+        self._usage_duty: UsageDuty | None = None
         self._record = InstanceRecord(
             instance=settings.instance,
             incarnation=time.time_ns() // 1_000_000,
@@ -152,6 +158,8 @@
         self._leaving = True
         state_change("instance", "leaving")
         await self._reports.announce()
+        if self._usage_duty is not None:
+            self._usage_duty.leave()
         withdrawal = asyncio.create_task(self._registrar.withdraw())
         self._callers.drain()
         if self._relay_server is not None:
@@ -162,8 +170,12 @@
         # Those that were accepted since, and on which no request has come.
         self._callers.drain()
         drain_until = started_at + grace_s
+        if self._usage_duty is not None:
+            drain_until -= HAND_OVER_S
         while self._busy_connections and self._clock.now() < drain_until:
             await asyncio.sleep(_DRAIN_POLL_S)
+        if self._usage_duty is not None:
+            await self._usage_duty.hand_over()
         withdrawal.cancel()
         state_change("drain", "complete", in_flight=self._busy_connections)
 
@@ -260,6 +272,8 @@
             bus,
             self._clock,
         )
+        duty_clock = SystemDutyClock()
+        fleet_clock = FleetClock(self._record, self._peers, duty_clock)
         self._registrar = Registrar(
             self._store,
             keys.instance_key(settings.instance),
@@ -280,7 +294,28 @@
             self._clock,
             frozenset(settings.regions.values()),
             settings.full_mesh_max,
+            fleet_clock if settings.duties.reports_usage else None,
         )
+        if settings.duties.reports_usage:
+            self._usage_duty = UsageDuty(
+                settings.duties,
+                settings.store.min_lease_s,
+                self._record,
+                self._store,
+                DutiesApi(
+                    settings.duties.address or "",
+                    settings.instance,
+                    self._clock,
+                ),
+                self._peers,
+                bus,
+                self._reports,
+                fleet_clock,
+                duty_clock,
+                self._clock,
+                self._metrics,
+            )
+            self._fleet.add_listener(self._usage_duty.on_event)
         self._crash_guard.announce = self._reports.announce_crash
         await stack.enter_async_context(self._mirror)
         await stack.enter_async_context(holder_changes)
@@ -303,6 +338,8 @@
             self._metrics,
             self._clock,
         )
+        if self._usage_duty is not None:
+            await stack.enter_async_context(self._usage_duty)
         await stack.enter_async_context(self._registrar)
 
     async def _start_request_path(
@@ -323,6 +360,7 @@
             dialect,
             clock,
             self._metrics,
+            self._usage_duty.counter if self._usage_duty else None,
         )
         stack.push_async_callback(self._sender.close)
         decision_log = DecisionLog(
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from radishmux.dispatch.server_response import ServerResponse
+from radishmux.duties.usage_counter import RequestUsage
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
@@ -33,6 +34,8 @@
             for the answer; None if the caller did not say.
         received_at: Monotonic time at which the head was complete.
         has_caller_left: Whether nobody waits for the answer any more.
+        usage: Attempts that count in the usage report; None: none yet.
+        is_counted_elsewhere: Whether a peer has counted the request.
     """
 
     __slots__ = (
@@ -41,6 +44,7 @@
         "has_caller_left",
         "headers",
         "host",
+        "is_counted_elsewhere",
         "key",
         "method",
         "path",
@@ -48,6 +52,7 @@
         "received_at",
         "request_id",
         "target",
+        "usage",
     )
 
     def __init__(
@@ -78,6 +83,8 @@
         self.remaining_s = remaining_s
         self.received_at = received_at
         self.has_caller_left = has_caller_left
+        self.usage: RequestUsage | None = None
+        self.is_counted_elsewhere = False
 
 
 class ExecutionReport:
--- a/src/radishmux/gateway/events.py
+++ b/src/radishmux/gateway/events.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from radishmux.config.routing import RoutingConfiguration
+from radishmux.duties.record import DutyRecord
 from radishmux.membership.record import InstanceRecord
 from radishmux.shift.orders import RolloutOrder, RolloutStatus
 from radishmux.shift.verdicts import Verdicts
@@ -139,6 +140,32 @@
     crashes: StoredCrashes
 
 
+class DutyPut(msgspec.Struct, frozen=True):
+    """The holder of a duty has changed.
+
+    Attributes:
+        duty: Name of the duty.
+        record: The holder's record; None if there is no holder.
+        revision: Store revision of the change.
+    """
+
+    duty: str
+    record: DutyRecord | None
+    revision: int = 0
+
+
+class UsagePut(msgspec.Struct, frozen=True):
+    """A holder has stored the usage report of a window.
+
+    Attributes:
+        window: The window.
+        body: Body of the report.
+    """
+
+    window: int
+    body: bytes
+
+
 class StoreListed(msgspec.Struct, frozen=True):
     """All keys of the store have been listed once."""
 
@@ -152,5 +179,7 @@
     | VerdictsPut
     | InstancePut
     | CrashesPut
+    | DutyPut
+    | UsagePut
     | StoreListed
 )
--- a/src/radishmux/gateway/fleet_state.py
+++ b/src/radishmux/gateway/fleet_state.py
@@ -12,6 +12,7 @@
 from radishmux.gateway.events import (
     ConfigurationPut,
     CrashesPut,
+    DutyPut,
     EvacuationPut,
     Event,
     InstancePut,
@@ -19,6 +20,7 @@
     ServerPut,
     StatusPut,
     StoreListed,
+    UsagePut,
     VerdictsPut,
 )
 from radishmux.membership.record import InstanceRecord
@@ -57,6 +59,7 @@
         self._rollout_services: set[str] = set()
         self._status_services: set[str] = set()
         self._verdict_services: set[str] = set()
+        self._held_duties: set[str] = set()
         # Monotonic time until which a list withdraws no order and evacuation,
         # and those that a list lacked since the store was restored.
         self._restored_grace_until = -math.inf
@@ -256,6 +259,8 @@
             VerdictsPut(service, {}, 0)
             for service in self._verdict_services - verdicts
         ]
+        held = {e.duty for e in present if isinstance(e, DutyPut)}
+        gone += [DutyPut(duty, None) for duty in self._held_duties - held]
         gone += [
             InstancePut(name, None) for name in self._instances.keys() - names
         ]
@@ -348,6 +353,18 @@
     def _on_crashes(self, event: CrashesPut, now: float) -> None:
         """Does nothing; the crash guard uses the record."""
 
+    @_handlers.register(DutyPut)
+    def _on_duty(self, event: DutyPut, now: float) -> None:
+        """Notes which duties are held; the duties use the record."""
+        if event.record is None:
+            self._held_duties.discard(event.duty)
+        else:
+            self._held_duties.add(event.duty)
+
+    @_handlers.register(UsagePut)
+    def _on_usage(self, event: UsagePut, now: float) -> None:
+        """Does nothing; the duties use the report."""
+
     def _mark_cold(self, domain: str, now: float) -> None:
         """Treats a domain's servers as cold after the end of its evacuation.
 
--- a/src/radishmux/gateway/relay_service.py
+++ b/src/radishmux/gateway/relay_service.py
@@ -136,6 +136,7 @@
         )
         if isinstance(call, Unavailable):
             return NotSent(call.reason), ""
+        call.is_counted_elsewhere = bool(message.is_counted)
         state = self._admit(call, routes, message)
         if state is None:
             return NotSent("not_allowed"), ""
--- a/src/radishmux/gateway/reports.py
+++ b/src/radishmux/gateway/reports.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from radishmux.clock import Clock
+from radishmux.gateway.fleet_clock import FleetClock
 from radishmux.gateway.gossip_state import Audience, GossipState
 from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.gateway.token_log import TokenLog
@@ -82,6 +83,7 @@
         clock: Monotonic time.
         regions: All regions of the fleet.
         full_mesh_max: Maximum number of instances up to which each is a hub.
+        fleet_clock: Exchanges the time with the peers; None: it is not needed.
     """
 
     def __init__(
@@ -98,7 +100,9 @@
         clock: Clock,
         regions: frozenset[str] = frozenset(),
         full_mesh_max: int = FULL_MESH_MAX,
+        fleet_clock: FleetClock | None = None,
     ) -> None:
+        self._fleet_clock = fleet_clock
         self._regions = regions
         self._started_at = clock.now()
         self._own = own
@@ -389,7 +393,7 @@
         report = self._gossip_state.build_report(
             audience, self._demand_age_s, wants_feed=wants_feed
         )
-        reply = await self._bus.request(name, report, REPLY_TIMEOUT_S)
+        reply = await self._request(name, report)
         if self._needs_introductions(reply):
             self._apply_report(reply)
             report = self._gossip_state.build_report(
@@ -398,7 +402,7 @@
                 wants_feed=wants_feed,
                 with_introductions=True,
             )
-            reply = await self._bus.request(name, report, REPLY_TIMEOUT_S)
+            reply = await self._request(name, report)
         if isinstance(reply, PeerUnavailable):
             if reply.refused:
                 self.on_connection_refused(name)
@@ -409,6 +413,18 @@
             reason = getattr(reply, "reason", "") or "sent no store changes"
             self._gossip_state.end_feed(f"hub {name}: {reason}")
 
+    async def _request(self, name: str, report: Any) -> Any:
+        """Sends a report and returns the reply; both carry the time."""
+        clock = self._fleet_clock
+        if clock is None:
+            return await self._bus.request(name, report, REPLY_TIMEOUT_S)
+        clock.stamp(report, name, self._plan)
+        sent = clock.read()
+        reply = await self._bus.request(name, report, REPLY_TIMEOUT_S)
+        if isinstance(reply, messages.FleetReport):
+            clock.on_reply(name, reply, sent, self._plan)
+        return reply
+
     def _needs_introductions(self, reply: Any) -> bool:
         """Whether a peer may not know this instance or other instances."""
         if not isinstance(reply, messages.FleetReport):
@@ -441,6 +457,10 @@
             audience = Audience.HUB
         else:
             audience = Audience.MEMBER
-        return self._gossip_state.build_report(
+        report = self._gossip_state.build_report(
             audience, self._demand_age_s, request=message
         )
+        if self._fleet_clock is not None:
+            self._fleet_clock.on_request(message, self._plan)
+            self._fleet_clock.stamp(report, message.instance, self._plan)
+        return report
--- a/src/radishmux/gateway/request_relay.py
+++ b/src/radishmux/gateway/request_relay.py
@@ -132,6 +132,7 @@
             tried=state.tried_servers,
             unavailable=list(state.unavailable_servers),
             remaining_ms=max(1, int(remaining_s * 1000)),
+            is_counted=call.usage is not None and bool(call.usage.windows),
         )
         reply = await self._pool(helper).send(
             relay_codec.encode_request(
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -13,6 +13,7 @@
     NotSent,
     ServerResponse,
 )
+from radishmux.duties.usage_counter import UsageCounter
 from radishmux.gateway.call import Call, Dialect, ExecutionReport
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.rollouts import Rollouts
@@ -47,6 +48,7 @@
             it may be.
         sent_at: Monotonic time at which it was sent to the server; None if it
             has not been.
+        usage_window: Window of the usage report in which it was sent.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "route",
         "sent_at",
         "service_digest",
+        "usage_window",
     )
 
     def __init__(
@@ -78,6 +81,7 @@
         self.is_suspected = False
         self.obstacle: Callable[[], str] = lambda: ""
         self.sent_at: float | None = None
+        self.usage_window = -1
         self.call = call
         self.route = route
         self.customer = customer
@@ -101,6 +105,7 @@
         dialect: Translates the headers of servers.
         clock: Monotonic time.
         metrics: Counts the outcomes of attempts.
+        usage: Counts the requests that were sent; None: nobody reports them.
     """
 
     def __init__(
@@ -114,7 +119,9 @@
         dialect: Dialect,
         clock: Clock,
         metrics: Metrics,
+        usage: UsageCounter | None = None,
     ) -> None:
+        self._usage = usage
         self._metrics = metrics
         self._fleet = fleet
         self._placement = placement
@@ -213,6 +220,8 @@
         outcome = await self._send(attempt)
         if isinstance(outcome, NoResponse):
             outcome_name = outcome.reason
+            if outcome.verdict is Verdict.NOT_RUN:
+                self._revert_usage(attempt)
         else:
             outcome_name = f"status {outcome.status}"
         self._metrics.count(
@@ -299,8 +308,21 @@
         reason = attempt.obstacle() or self._obstacle(attempt.call, server)
         if not reason:
             attempt.sent_at = self._clock.now()
+            self._count_usage(attempt)
         return reason
 
+    def _count_usage(self, attempt: Attempt) -> None:
+        call = attempt.call
+        if self._usage is not None and not call.is_counted_elsewhere:
+            call.usage, attempt.usage_window = self._usage.record_sent(
+                call.usage, attempt.customer
+            )
+
+    def _revert_usage(self, attempt: Attempt) -> None:
+        usage = attempt.call.usage
+        if self._usage is not None and usage is not None:
+            self._usage.record_not_run(usage, attempt.usage_window)
+
     def _obstacle(self, call: Call, server: Server) -> str:
         if call.has_caller_left():
             return CALLER_LEFT
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -277,6 +277,47 @@
   // Requests under which servers crashed.
   16: list<CrashRecord> crashes,
   17: list<RejectedVersion> rejected,
+  // Unix time of the sender's clock, in microseconds; -1: unknown. The three
+  // fields that follow are differences to that clock, also in microseconds.
+  30: i64 unix_us = -1,
+  // The true time as the sender estimates it.
+  31: i64 true_lead_us = 0,
+  // Median of the clocks of the sender's region, and the number of clocks; 0: it
+  // does not sum them up.
+  32: i64 region_lead_us = 0,
+  33: i32 region_clocks = 0,
+  // Clock of the receiver as measured in the previous exchange; absent: not yet.
+  34: optional i64 receiver_lead_us,
+}
+
+// Requests that some processes sent to backend servers in one window.
+struct WindowUsage {
+  1: i64 window,
+  2: map<string, i64> counts,
+  // The processes: eight bytes each.
+  3: binary sources,
+}
+
+// Counts for the holder of the usage report.
+struct UsageReport {
+  // Fencing token of the holder for which they are meant.
+  1: i64 token,
+  2: list<WindowUsage> windows,
+  // Whether the receiver is to pass them on, as a hub of the region.
+  3: bool via_hub = false,
+}
+
+// Sources of a window that the holder has already, so that it has not added the
+// sum.
+struct KnownSources {
+  1: i64 window,
+  2: binary sources,
+}
+
+struct UsageReceipt {
+  // Why nothing was taken; empty: all windows were added but those in `known`.
+  1: string refusal,
+  2: list<KnownSources> known,
 }
 
 // Requests tokens from a customer's token holder. The holder removes the granted
@@ -366,6 +407,8 @@
   7: list<string> tried,
   8: list<string> unavailable,
   9: i32 remaining_ms,
+  // Whether the sender has counted the request in the usage report.
+  30: bool is_counted = false,
 }
 
 struct RelayOutcome {
@@ -411,6 +454,8 @@
   23: RelayOutcome relay_outcome,
   24: TrialRequest trial_request,
   25: TrialAnswer trial_answer,
+  40: UsageReport usage_report,
+  41: UsageReceipt usage_receipt,
 }
 
 struct Envelope {
--- a/src/radishmux/platform/keys.py
+++ b/src/radishmux/platform/keys.py
@@ -7,9 +7,11 @@
 import msgspec
 from loguru import logger
 
+from radishmux.duties.record import DutyRecord
 from radishmux.gateway.events import (
     ConfigurationPut,
     CrashesPut,
+    DutyPut,
     EvacuationPut,
     Event,
     InstancePut,
@@ -17,6 +19,7 @@
     ServerPut,
     StatusPut,
     StoredCrashes,
+    UsagePut,
     VerdictsPut,
 )
 from radishmux.membership.record import InstanceRecord
@@ -34,6 +37,10 @@
 CRASHES_PREFIX = "radishmux/crashes/"
 # Prefix of the keys at which they store the verdicts on a service's versions.
 VERDICTS_PREFIX = "radishmux/verdicts/"
+# Prefix of the keys that name the holders of duties.
+DUTIES_PREFIX = "radishmux/duties/"
+# Prefix of the keys at which a holder stores the usage reports of windows.
+USAGE_PREFIX = "radishmux/usage/"
 # The keys that an instance watches share no other prefix, so it watches the
 # whole store.
 WATCHED_PREFIX = ""
@@ -72,6 +79,16 @@
     return VERDICTS_PREFIX + service
 
 
+def duty_key(duty: str) -> str:
+    """Returns the key of the record of a duty's holder."""
+    return DUTIES_PREFIX + duty
+
+
+def usage_key(window: int) -> str:
+    """Returns the key of the usage report of a window."""
+    return f"{USAGE_PREFIX}{window}"
+
+
 def status_key(service: str) -> str:
     """Returns the key of the status of a service's rollout."""
     return documents.STATUS_PREFIX + service
@@ -177,3 +194,23 @@
         # Known verdicts are written over it.
         return VerdictsPut(service, {}, change.revision)
     return VerdictsPut(service, verdicts, change.revision)
+
+
+@_decoders.register(DUTIES_PREFIX)
+def _decode_duty_change(duty: str, change: KeyChange) -> Event | None:
+    if change.value is None:
+        return DutyPut(duty, None, change.revision)
+    try:
+        record = msgspec.json.decode(change.value, type=DutyRecord)
+    except (msgspec.DecodeError, RecursionError) as error:
+        _log_problem(change, Unavailable(str(error)))
+        # It is held by something unknown until the record is gone.
+        record = DutyRecord("", 0, 0)
+    return DutyPut(duty, record, change.revision)
+
+
+@_decoders.register(USAGE_PREFIX)
+def _decode_usage_change(window: str, change: KeyChange) -> Event | None:
+    if change.value is None or not (window.isascii() and window.isdigit()):
+        return None
+    return UsagePut(int(window), change.value)
--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -99,6 +99,11 @@
         """Number of calls made since the client was created."""
         return self._call_count
 
+    @property
+    def era(self) -> int:
+        """The latest era that a response named; 0 before the first one."""
+        return self._era
+
     async def __aenter__(self) -> PlatformStore:
         return self
 
@@ -230,6 +235,50 @@
             return Unknown("restored before the write")
         return Entry(value, in_era(self._era, written.revision))
 
+    async def transact(
+        self,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        deletes: tuple[str, ...],
+        timeout_s: float,
+    ) -> int | Conflict | Unknown | Unavailable:
+        """Writes and deletes keys if some keys have the expected revisions.
+
+        Args:
+            expected: Revision of each key; 0: it must not exist.
+            puts: Values to write.
+            deletes: Keys to delete.
+            timeout_s: Time limit.
+
+        Returns:
+            The revision of the write.
+        """
+        revisions = [revision for revision in expected.values() if revision]
+        if any(era_of(revision) != self._era for revision in revisions):
+            return Conflict("an earlier era")
+        body = {
+            "Expected": [
+                {"Key": key, "Revision": number_of(revision)}
+                for key, revision in expected.items()
+            ],
+            "Puts": [
+                {"Key": key, "Value": base64.b64encode(value).decode()}
+                for key, value in puts.items()
+            ],
+            "Deletes": list(deletes),
+        }
+        reply = await self._write("kv-txn", body, timeout_s)
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == 412:
+            return Conflict(", ".join(expected))
+        written = _decode(reply, _WriteResult)
+        if isinstance(written, Unavailable):
+            return Unknown(written.reason)
+        if any(era_of(revision) != self._era for revision in revisions):
+            return Unknown("restored before the write")
+        return in_era(self._era, written.revision)
+
     async def delete(
         self, key: str, timeout_s: float
     ) -> bool | Unknown | Unavailable:
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -87,6 +87,55 @@
     lookup_ttl_s: float = 5.0
 
 
+class DutySettings(_Settings, kw_only=True):
+    """Work that one instance does for the fleet; off if a value is missing.
+
+    Attributes:
+        address: `ip:port` of the API that takes the reports.
+        names: Duties of the fleet; only `usage_report` is known.
+        calls_per_s: Calls per second that the API accepts from all instances
+            together.
+        require_fence: Whether the API refuses a token lower than one that it
+            has seen.
+        lease_s: Time after which the duty of a silent holder is free.
+        thaw_slack_s: Time before the end of its lease at which a holder stops.
+        report_window_s: Length of the reported windows.
+        usage_tolerance: Fraction by which a customer's count may be wrong.
+        usage_late_s: Time after the end of a window at which its report is
+            due.
+    """
+
+    address: str | None = None
+    names: tuple[str, ...] | None = None
+    calls_per_s: float | None = None
+    require_fence: bool | None = None
+    lease_s: float | None = None
+    thaw_slack_s: float | None = None
+    report_window_s: float | None = None
+    usage_tolerance: float | None = None
+    usage_late_s: float | None = None
+
+    @property
+    def reports_usage(self) -> bool:
+        """Whether the usage is to be reported and all values are usable."""
+        positive = (
+            self.calls_per_s,
+            self.lease_s,
+            self.report_window_s,
+            self.usage_late_s,
+        )
+        slack_s = self.thaw_slack_s
+        return (
+            bool(self.address)
+            and "usage_report" in (self.names or ())
+            and self.require_fence is not None
+            and self.usage_tolerance is not None
+            and all(value is not None and value > 0 for value in positive)
+            and slack_s is not None
+            and 0 <= slack_s < (self.lease_s or 0.0)
+        )
+
+
 class GatewaySettings(_Settings, kw_only=True):
     """Content of the gateway daemon's settings file.
 
@@ -99,6 +148,7 @@
         listen: Addresses that the daemon listens on.
         store: The platform's store.
         bounds: Limits that operators require.
+        duties: Work that one instance does for the fleet.
         cpu_share: Share of each core that the process may use.
         cores: Speed of the machine's cores relative to a usual one.
         link_mbps: Bandwidth of the machine.
@@ -115,6 +165,7 @@
     listen: GatewayListen
     store: GatewayStore
     bounds: Bounds = Bounds()
+    duties: DutySettings = DutySettings()
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -221,6 +221,34 @@
         "customer",
     ),
     _gauge("gateway_log_lines_dropped", "Log lines dropped since the start."),
+    _gauge(
+        "gateway_duties_held",
+        "Whether this instance holds a duty of the fleet: 1 or 0.",
+        "duty",
+    ),
+    _counter(
+        "gateway_usage_windows_total",
+        "Windows of the usage report: stored, sent, late, repeated (stored by"
+        " an earlier holder), incomplete, refused or missed.",
+        "outcome",
+    ),
+    _counter(
+        "gateway_usage_sources_missing_total",
+        "Instances whose counts are missing in a stored window.",
+    ),
+    _gauge(
+        "gateway_usage_changes_missed",
+        "Requests whose count changed after it had been reported.",
+    ),
+    _counter(
+        "gateway_duty_calls_total",
+        "Calls to the API of the duties, by outcome.",
+        "outcome",
+    ),
+    _gauge(
+        "gateway_fleet_time_lead_seconds",
+        "Median of the instances' clocks minus this instance's own.",
+    ),
 )
 
 _SHARES = (
