--- a/tests/duties/__init__.py
+++ b/tests/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the duties of the fleet."""
--- a/tests/duties/fleet.py
+++ b/tests/duties/fleet.py
@@ -72,9 +72,7 @@
                 self.delete(key)
 
     def copy(self):
-        self.copies.append(
-            (self.revision, dict(self.pairs), dict(self.leases))
-        )
+        self.copies.append((self.revision, dict(self.pairs), dict(self.leases)))
 
     def restore(self):
         """Goes back to the latest copy, as another era."""
@@ -102,6 +100,11 @@
     def txn(self, expected, puts, deletes, lease):
         """Returns a revision, Conflict or NotFound."""
         self.expire()
+        for key in puts:
+            if key.startswith("radishmux/usage/"):
+                # Only a holder writes a window, and only once.
+                assert expected[key] == 0
+                assert expected["radishmux/duties/usage_report"] > 0
         for key, revision in expected.items():
             pair = self.pairs.get(key)
             present = in_era(self.era, pair[1]) if pair else 0
--- a/tests/duties/test_random_faults.py
+++ b/tests/duties/test_random_faults.py
@@ -43,7 +43,9 @@
     def node(self):
         alive = [n for n in self.fleet.nodes.values() if not n.is_dead]
         held = [n for n in alive if n.duty.token]
-        return self.rng.choice(held if held and self.rng.random() < 0.6 else alive)
+        return self.rng.choice(
+            held if held and self.rng.random() < 0.6 else alive
+        )
 
     async def wait(self, longest=8.0):
         await asyncio.sleep(self.rng.uniform(0.2, longest))
--- a/tests/duties/test_usage_duty.py
+++ b/tests/duties/test_usage_duty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -129,7 +130,9 @@
         fleet.store.is_down = True
         down_at = fleet.loop.time()
         await fleet.run(8)
-        assert not [at for at, _, _ in fleet.api.calls if at > down_at + LEASE_S]
+        assert not [
+            at for at, _, _ in fleet.api.calls if at > down_at + LEASE_S
+        ]
         fleet.store.is_down = False
         await fleet.run(40)
         fleet.check()
@@ -236,7 +239,7 @@
         await fleet.run(15)
         calls = [at for at, _, _ in fleet.api.calls if at >= down_at]
         assert calls
-        assert all(b - a >= 0.199 for a, b in zip(calls, calls[1:]))
+        assert all(b - a >= 0.199 for a, b in itertools.pairwise(calls))
         fleet.api.is_down = False
         await fleet.run(30)
         fleet.check_rules()
