--- a/scripts/reference.py
+++ b/scripts/reference.py
@@ -45,6 +45,7 @@
     gateway.GatewayListen,
     gateway.GatewayStore,
     gateway.Bounds,
+    gateway.DutySettings,
 )
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
 
@@ -192,6 +193,13 @@
         return (
             f"[{field_type.cls.__name__}](#{field_type.cls.__name__.lower()})"
         )
+    if isinstance(field_type, types.UnionType):
+        members = [
+            _type(one)
+            for one in field_type.types
+            if not isinstance(one, types.NoneType)
+        ]
+        return " or ".join(members)
     if isinstance(field_type, types.EnumType):
         return " or ".join(f"`{member.value}`" for member in field_type.cls)
     if isinstance(field_type, types.StrType):
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -106,7 +106,7 @@
     """
 
     address: str | None = None
-    names: tuple[str, ...] | None = None
+    names: list[str] | None = None
     calls_per_s: float | None = None
     require_fence: bool | None = None
     lease_s: float | None = None
--- a/tests/duties/fleet.py
+++ b/tests/duties/fleet.py
@@ -28,9 +28,10 @@
 WINDOW_S, LATE_S, LEASE_S = 5.0, 10.0, 3.0
 STORE_DELAY_S = 0.02
 WATCH_LAG_S = 0.5
+DUTY_KEY = "radishmux/duties/usage_report"
 TERMS = DutySettings(
     address="127.0.0.1:1",
-    names=("usage_report",),
+    names=["usage_report"],
     calls_per_s=10.0,
     require_fence=True,
     lease_s=LEASE_S,
@@ -61,6 +62,7 @@
         self.lost, self.lost_delay_s = 0, 0.0
         self.delay_s = STORE_DELAY_S
         self.copies = []
+        self.writes = collections.Counter()
 
     def expire(self):
         now = self.loop.time()
@@ -84,6 +86,7 @@
 
     def put(self, key, value, lease):
         self.revision += 1
+        self.writes[key] += 1
         self.pairs[key] = (value, self.revision, lease)
         self.publish(key, value)
 
@@ -104,7 +107,7 @@
             if key.startswith("radishmux/usage/"):
                 # Only a holder writes a window, and only once.
                 assert expected[key] == 0
-                assert expected["radishmux/duties/usage_report"] > 0
+                assert expected[DUTY_KEY] > 0
         for key, revision in expected.items():
             pair = self.pairs.get(key)
             present = in_era(self.era, pair[1]) if pair else 0
@@ -401,8 +404,7 @@
         for key, (value, revision, _) in store.pairs.items():
             self.on_change(KeyChange(key, value, in_era(store.era, revision)))
         if not any("duties" in key for key in store.pairs):
-            key = "radishmux/duties/usage_report"
-            self.on_change(KeyChange(key, None, 0))
+            self.on_change(KeyChange(DUTY_KEY, None, 0))
         self.duty.on_event(StoreListed(), 0.0)
 
     async def start(self):
--- a/tests/duties/test_usage_duty.py
+++ b/tests/duties/test_usage_duty.py
@@ -9,7 +9,13 @@
 
 from radishmux.duties.holder import Change
 from radishmux.peer import messages
-from tests.duties.fleet import LATE_S, LEASE_S, WINDOW_S, Fleet
+from tests.duties.fleet import (
+    DUTY_KEY,
+    LATE_S,
+    LEASE_S,
+    WINDOW_S,
+    Fleet,
+)
 from tests.gateway.virtual_loop import run
 
 NAMES = ("n0", "n1", "n2", "n3", "n4")
@@ -193,6 +199,21 @@
     in_fleet(scenario)
 
 
+def test_lost_response_of_an_acquisition_is_read_back():
+    """Guards against a record that its own writer does not know of."""
+
+    async def scenario(fleet):
+        writes = fleet.store.writes
+        before = writes[DUTY_KEY]
+        await fleet.holder.kill()
+        fleet.store.lost = 1
+        await fleet.run(3 * LEASE_S)
+        assert writes[DUTY_KEY] == before + 1
+        assert fleet.holder.duty.token
+
+    in_fleet(scenario)
+
+
 def test_restored_store_gives_a_later_token_and_no_second_counts():
     """Guards against windows that the restored store has lost."""
 
