Give the usage duty up where most instances are not heard

An isolated holder that still reached the store would have reported windows without the counts of the others. The clocks go into reports only if a duty needs them.

--- a/src/radishmux/duties/holder.py
+++ b/src/radishmux/duties/holder.py
@@ -21,6 +21,12 @@
 # Pause after a store call that failed, long enough not to load a store that is
 # recovering, short against a lease.
 RETRY_S = 0.5
+# An instance that has heard less than half of the others for this long does not
+# acquire a duty, since it would not get their counts: more than one report.
+UNHEARD_CANDIDATE_S = 2.0
+# A holder gives the duty up after this time. It is longer than the lease of the
+# instances' records, so that the death of many instances is no reason.
+UNHEARD_HOLDER_S = 6.0
 # A lease is renewed this many times in its duration, so that one renewal may
 # fail.
 RENEWALS_PER_LEASE = 3
@@ -96,6 +102,8 @@
         self._renew_at = now
         self._token = 0
         self._is_leaving = False
+        # Since when less than half of the other instances are heard.
+        self._unheard_since: Reading | None = None
         self._changes: list[tuple[Change, str, int]] = []
 
     @property
@@ -162,6 +170,13 @@
         """Sets how many candidates should try before this one."""
         self._rank = rank
 
+    def set_heard(self, is_half_heard: bool, now: Reading) -> None:
+        """Sets whether at least half of the instances, with this one, are."""
+        if is_half_heard:
+            self._unheard_since = None
+        elif self._unheard_since is None:
+            self._unheard_since = now
+
     def on_record(
         self, record: DutyRecord | None, revision: int, now: Reading
     ) -> None:
@@ -272,6 +287,10 @@
             self._lease_id,
         )
 
+    def _is_unheard(self, seconds: float, now: Reading) -> bool:
+        since = self._unheard_since
+        return since is not None and now.is_after(since.plus(seconds))
+
     def _set_valid(self, sent_at: Reading) -> None:
         self._valid_until = sent_at.plus(self._ttl_s - self._slack_s)
         self._renew_at = sent_at.plus(self._ttl_s / RENEWALS_PER_LEASE)
@@ -287,6 +306,8 @@
             return Step.NONE
         turn = self._vacant_since.plus(self._rank * RANK_GAP_S)
         starts = (self._quiet_until, self._retry_at, turn)
+        if self._is_unheard(UNHEARD_CANDIDATE_S, now):
+            return Step.NONE
         if not all(now.is_after(start) for start in starts):
             return Step.NONE
         return Step.GRANT
@@ -310,6 +331,10 @@
         if not now.is_before(self._valid_until):
             self._lose("lease not renewed in time", now)
             return Step.NONE
+        if self._is_unheard(UNHEARD_HOLDER_S, now):
+            self._lose("hears less than half of the instances", now)
+            self._state = State.RELEASING
+            return Step.NONE
         return Step.NONE if now.is_before(self._renew_at) else Step.RENEW
 
     def _next_releasing(self, now: Reading, era: int) -> Step:
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -157,9 +157,9 @@
         started_at = self._clock.now()
         self._leaving = True
         state_change("instance", "leaving")
-        await self._reports.announce()
         if self._usage_duty is not None:
             self._usage_duty.leave()
+        await self._reports.announce()
         withdrawal = asyncio.create_task(self._registrar.withdraw())
         self._callers.drain()
         if self._relay_server is not None:
--- a/src/radishmux/gateway/duties.py
+++ b/src/radishmux/gateway/duties.py
@@ -79,7 +79,10 @@
         self._own = own
         self._store = store
         self._peers = peers
+        self._reports = reports
         self._fleet_clock = fleet_clock
+        self._duty_clock = duty_clock
+        self._clock = clock
         self._metrics = metrics
         self._record: DutyRecord | None = None
         self._record_revision = 0
@@ -209,11 +212,22 @@
         if incarnations.keys() != self._ranked:
             self._ranked = frozenset(incarnations)
             self._holder.set_rank(self._rank())
+        self._holder.set_heard(self._is_half_heard(), self._duty_clock.read())
         self._metrics.set(
             "gateway_fleet_time_lead_seconds", self._fleet_clock.lead_s
         )
         self._metrics.set("gateway_usage_changes_missed", self._counter.missed)
 
+    def _is_half_heard(self) -> bool:
+        """Whether this instance and those that it hears are half of all.
+
+        In a fleet with hubs it hears those of its region and the other hubs.
+        """
+        now = self._clock.now()
+        names = self._reports.plan.monitored
+        heard = sum(self._peers.is_reachable(name, now) for name in names)
+        return 2 * (1 + heard) >= 1 + len(names)
+
     def _rank(self) -> int:
         """Returns how many instances should try to get the duty before."""
         own = source_id(USAGE_REPORT + self._own.instance, 0)
--- a/src/radishmux/gateway/usage_exchange.py
+++ b/src/radishmux/gateway/usage_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -32,6 +33,9 @@
 # Timeout of a hub, which gathers first. It must be longer than the hub takes:
 # a timeout closes the connection, over which the reports go as well.
 HUB_TIMEOUT_S = GATHER_S + MAX_ROUNDS * HOLDER_TIMEOUT_S + 0.5
+# Pause after the holder itself has not answered. It may be dead, and members
+# of all regions would go on sending to it.
+DIRECT_PAUSE_S = 2.0
 # Time for a leaving instance to hand over its counts. A killed one loses those
 # of the open window.
 HAND_OVER_S = 0.4
@@ -78,6 +82,7 @@
         # What a hub gathers now, with the result for those that wait for it.
         self._batch = HubBatch()
         self._batch_done: asyncio.Task[str] | None = None
+        self._direct_at = -math.inf
         bus.handle(messages.UsageReport)(self._on_report)
 
     async def hand_over(self) -> None:
@@ -114,10 +119,12 @@
         plan = self._plan()
         by_hub = not (is_direct or plan.is_mesh)
         is_taken = by_hub and await self._send_by_hub(plan, token, usages)
-        if not is_taken:
+        if not is_taken and (is_direct or self._unix_s() >= self._direct_at):
             batch = HubBatch()
             batch.add(self._source, usages)
             is_taken = not await self._send(name, token, batch)
+            if by_hub and not is_taken:
+                self._direct_at = self._unix_s() + DIRECT_PAUSE_S
         if is_taken:
             for window in pending:
                 self._outbox.acknowledge(window, token)
--- a/src/radishmux/peer/peer.thrift
+++ b/src/radishmux/peer/peer.thrift
@@ -277,15 +277,15 @@
   // Requests under which servers crashed.
   16: list<CrashRecord> crashes,
   17: list<RejectedVersion> rejected,
-  // Unix time of the sender's clock, in microseconds; -1: unknown. The three
-  // fields that follow are differences to that clock, also in microseconds.
-  30: i64 unix_us = -1,
+  // Unix time of the sender's clock, in microseconds; absent: nobody needs it.
+  // The fields that follow are differences to that clock, also in microseconds.
+  30: optional i64 unix_us,
   // The true time as the sender estimates it.
-  31: i64 true_lead_us = 0,
-  // Median of the clocks of the sender's region, and the number of clocks; 0: it
-  // does not sum them up.
-  32: i64 region_lead_us = 0,
-  33: i32 region_clocks = 0,
+  31: optional i64 true_lead_us,
+  // Median of the clocks of the sender's region, and the number of clocks;
+  // absent: it does not sum them up.
+  32: optional i64 region_lead_us,
+  33: optional i32 region_clocks,
   // Clock of the receiver as measured in the previous exchange; absent: not yet.
   34: optional i64 receiver_lead_us,
 }
--- a/tests/duties/fleet.py
+++ b/tests/duties/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import itertools
 import json
 
 from radishmux.duties.clocks import Reading
@@ -442,6 +443,7 @@
         self.store, self.api = Store(loop), Api(loop)
         self.nodes = {}
         self.lost_receipts = 0
+        self._exchange_at = 0.0
         self.true_counts = collections.defaultdict(collections.Counter)
         self._expiry = asyncio.create_task(self._expire())
 
@@ -459,6 +461,26 @@
         window = int((START_UNIX_S + self.loop.time()) // WINDOW_S)
         self.true_counts[window][customer] += 1
 
+    def exchange_reports(self):
+        """Lets all pairs of nodes exchange reports, as a full mesh."""
+        heard = [
+            node
+            for node in self.nodes.values()
+            if not (node.is_dead or node.is_frozen or node.is_isolated)
+        ]
+        now = self.loop.time()
+        for asking, asked in itertools.permutations(heard, 2):
+            asked.peers.record_report(
+                asking.name, asking.incarnation, False, now
+            )
+            report = messages.FleetReport(instance=asking.name)
+            asking.clock.stamp(report, asked.name, asking.plan)
+            asked.clock.on_request(report, asked.plan)
+            reply = messages.FleetReport(instance=asked.name)
+            asked.clock.stamp(reply, asking.name, asked.plan)
+            boot = asking.read().boot
+            asking.clock.on_reply(asked.name, reply, boot, asking.plan)
+
     @property
     def holders(self):
         return [one for one in self.nodes.values() if one.duty.token]
@@ -473,6 +495,9 @@
         until = self.loop.time() + seconds
         while self.loop.time() < until:
             await asyncio.sleep(0.05)
+            if self.loop.time() >= self._exchange_at:
+                self._exchange_at += 0.5
+                self.exchange_reports()
             for node in list(self.nodes.values()) if load else ():
                 if node.is_serving:
                     node.send("t1", 2)
--- a/tests/duties/test_usage_duty.py
+++ b/tests/duties/test_usage_duty.py
@@ -13,6 +13,7 @@
     DUTY_KEY,
     LATE_S,
     LEASE_S,
+    START_UNIX_S,
     WINDOW_S,
     Fleet,
 )
@@ -160,7 +161,7 @@
         skipped = set(fleet.ended(since=down_at)) - set(fleet.api.accepted)
         assert skipped
         for window, at in fleet.api.accepted_at.items():
-            end = (window + 1) * WINDOW_S - 1_767_225_600.0
+            end = (window + 1) * WINDOW_S - START_UNIX_S
             assert at <= end + LATE_S + 1.0
 
     in_fleet(scenario)
@@ -357,6 +358,38 @@
     in_fleet(scenario)
 
 
+def test_isolated_holder_gives_the_duty_up():
+    """Guards against reports without the counts of most instances."""
+
+    async def scenario(fleet):
+        isolated = fleet.holder
+        isolated.is_isolated = True
+        await fleet.run(30)
+        assert fleet.holder is not isolated
+        isolated.is_isolated = False
+        healed_at = fleet.loop.time()
+        await fleet.run(30)
+        fleet.check(since=healed_at)
+
+    in_fleet(scenario)
+
+
+def test_wrong_clocks_move_no_request_to_another_window():
+    """Guards against one machine's clock that is far off."""
+
+    async def main(loop):
+        fleet = Fleet(loop)
+        await fleet.add(*NAMES)
+        await fleet.add("ahead", wall_error_s=3.0)
+        await fleet.add("behind", wall_error_s=-40.0)
+        await fleet.run(10 * WINDOW_S)
+        for node in fleet.nodes.values():
+            assert abs(node.clock.now() - START_UNIX_S - loop.time()) < 0.01
+        fleet.check(since=WINDOW_S)
+
+    run(main)
+
+
 def test_changes_are_reported_with_their_reason():
     """Guards against a silent loss of the duty."""
 
