--- a/src/radishmux/duties/holder.py
+++ b/src/radishmux/duties/holder.py
@@ -177,6 +177,11 @@
         elif self._unheard_since is None:
             self._unheard_since = now
 
+    def on_era(self, era: int, now: Reading) -> None:
+        """Takes the latest known era of the store."""
+        if self._state is State.HOLDING and era != era_of(self._token):
+            self._lose("the store was restored", now)
+
     def on_record(
         self, record: DutyRecord | None, revision: int, now: Reading
     ) -> None:
@@ -325,8 +330,8 @@
         return Step.READ if now.is_after(self._retry_at) else Step.NONE
 
     def _next_holding(self, now: Reading, era: int) -> Step:
-        if era != era_of(self._token):
-            self._lose("the store was restored", now)
+        self.on_era(era, now)
+        if self._state is not State.HOLDING:
             return Step.NONE
         if not now.is_before(self._valid_until):
             self._lose("lease not renewed in time", now)
--- a/src/radishmux/gateway/duty_tenure.py
+++ b/src/radishmux/gateway/duty_tenure.py
@@ -105,7 +105,9 @@
 
     def on_record(self, record: DutyRecord | None, revision: int) -> None:
         """Takes the record that the store's watch delivers."""
-        self._holder.on_record(record, revision, self._clock.read())
+        now = self._clock.read()
+        self._holder.on_era(self._store.era, now)
+        self._holder.on_record(record, revision, now)
         self._report_changes()
 
     def leave(self) -> None:
@@ -174,6 +176,7 @@
         remaining_s = await self._store.keep_lease(
             self._holder.lease_id, CALL_TIMEOUT_S
         )
+        self._holder.on_era(self._store.era, self._clock.read())
         if isinstance(remaining_s, Unavailable):
             self._holder.on_renewal_failed(self._clock.read())
         elif remaining_s <= 0:
--- a/src/radishmux/gateway/usage_exchange.py
+++ b/src/radishmux/gateway/usage_exchange.py
@@ -82,6 +82,7 @@
         # What a hub gathers now, with the result for those that wait for it.
         self._batch = HubBatch()
         self._batch_done: asyncio.Task[str] | None = None
+        self._flushes: set[asyncio.Task[str]] = set()
         self._direct_at = -math.inf
         bus.handle(messages.UsageReport)(self._on_report)
 
@@ -99,6 +100,11 @@
         except TimeoutError:
             return
 
+    async def _stop(self) -> None:
+        for flush in self._flushes:
+            flush.cancel()
+        await super()._stop()
+
     async def _run(self) -> None:
         await repeat(self._step, PERIOD_S, "usage exchange")
 
@@ -154,6 +160,8 @@
         """
         if self._batch_done is None:
             self._batch_done = asyncio.create_task(self._flush(token))
+            self._flushes.add(self._batch_done)
+            self._batch_done.add_done_callback(self._flushes.discard)
         self._batch.add(source, usages)
         return await asyncio.shield(self._batch_done)
 
--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -207,33 +207,10 @@
         been restored since, the key may have had that revision by chance, and
         the outcome is unknown.
         """
-        if expected_revision and era_of(expected_revision) != self._era:
-            return Conflict(key)
-        put = {
-            "Key": key,
-            "Value": base64.b64encode(value).decode(),
-            "LeaseId": lease_id,
-        }
-        body = {
-            "Expected": [
-                {"Key": key, "Revision": number_of(expected_revision)}
-            ],
-            "Puts": [put],
-            "Deletes": [],
-        }
-        reply = await self._write("kv-txn", body, timeout_s)
-        if isinstance(reply, Unavailable):
-            return reply
-        if reply.status == 412:
-            return Conflict(key)
-        if reply.status == 404:
-            return NotFound(f"lease {lease_id}")
-        written = _decode(reply, _WriteResult)
-        if isinstance(written, Unavailable):
-            return Unknown(written.reason)
-        if expected_revision and era_of(expected_revision) != self._era:
-            return Unknown("restored before the write")
-        return Entry(value, in_era(self._era, written.revision))
+        written = await self.transact(
+            {key: expected_revision}, {key: value}, (), timeout_s, lease_id
+        )
+        return Entry(value, written) if isinstance(written, int) else written
 
     async def transact(
         self,
@@ -241,14 +218,18 @@
         puts: dict[str, bytes],
         deletes: tuple[str, ...],
         timeout_s: float,
+        lease_id: int = 0,
     ) -> int | Conflict | Unknown | Unavailable:
         """Writes and deletes keys if some keys have the expected revisions.
 
+        Revisions and eras are compared as in `compare_and_swap`.
+
         Args:
             expected: Revision of each key; 0: it must not exist.
             puts: Values to write.
             deletes: Keys to delete.
             timeout_s: Time limit.
+            lease_id: Lease of the written keys; 0: none.
 
         Returns:
             The revision of the write.
@@ -262,7 +243,11 @@
                 for key, revision in expected.items()
             ],
             "Puts": [
-                {"Key": key, "Value": base64.b64encode(value).decode()}
+                {
+                    "Key": key,
+                    "Value": base64.b64encode(value).decode(),
+                    "LeaseId": lease_id,
+                }
                 for key, value in puts.items()
             ],
             "Deletes": list(deletes),
@@ -272,6 +257,8 @@
             return reply
         if reply.status == 412:
             return Conflict(", ".join(expected))
+        if reply.status == 404:
+            return NotFound(f"lease {lease_id}")
         written = _decode(reply, _WriteResult)
         if isinstance(written, Unavailable):
             return Unknown(written.reason)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -103,8 +103,11 @@
     )
 
 
-def test_gateway_template_renders_valid_settings(tmp_path):
-    """Values that the platform does not know are null in the rendered file."""
+def _rendered_settings(tmp_path, known=()):
+    """Returns the settings rendered with some more known values.
+
+    Values that the platform does not know are null in the rendered file.
+    """
     text = (ROOT / "deploy" / "gateway.template.jsonc").read_text()
     values = {
         "NodeName": "n1",
@@ -117,7 +120,7 @@
         "Listen.Directory": "10.0.0.1:3",
         "InternalPortRange": [4, 9],
         "Platform.Address": "10.0.0.2:5",
-    }
+    } | dict(known)
 
     def value(match):
         found = values.get(match.group(1))
@@ -125,11 +128,34 @@
 
     path = tmp_path / "node.yaml"
     path.write_text(re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, text))
-    settings = load_gateway(path)
+    return load_gateway(path)
+
+
+def test_gateway_template_renders_valid_settings(tmp_path):
+    settings = _rendered_settings(tmp_path)
     assert settings.instance == "n1"
     assert settings.listen.peer_ports == (4, 9)
     assert settings.listen.metrics == "10.0.0.1:9464"
     assert settings.bounds.grace_s == 6.0
+    assert not settings.duties.reports_usage
+
+
+def test_duties_are_off_if_one_value_is_missing(tmp_path):
+    known = {
+        "Cloud.Address": "10.0.0.2:6",
+        "Cloud.Duties": ["usage_report"],
+        "Cloud.DutyPerS": 5,
+        "Bounds.RequireFence": False,
+        "Bounds.LeaseS": 3,
+        "Bounds.ThawSlackS": 0.3,
+        "Bounds.ReportWindowS": 5,
+        "Bounds.UsageTolerance": 0.05,
+        "Bounds.UsageLateS": 10,
+    }
+    assert _rendered_settings(tmp_path, known).duties.reports_usage
+    for name in known:
+        fewer = {one: value for one, value in known.items() if one != name}
+        assert not _rendered_settings(tmp_path, fewer).duties.reports_usage
 
 
 @pytest.mark.parametrize(
