--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -14,6 +14,13 @@
 from radishmux.dispatch.http_client import ServerConnectionPool
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
 from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
+from radishmux.platform._store_documents import (
+    EventList,
+    Item,
+    Lease,
+    RangePage,
+    WriteResult,
+)
 from radishmux.store.interface import (
     Changes,
     Entry,
@@ -34,40 +41,6 @@
 _ERA = "store-era"
 
 
-class _Item(msgspec.Struct, rename="pascal"):
-    """A stored item or a change event.
-
-    The store may leave out every field except the key.
-    """
-
-    key: str
-    value: str = ""
-    revision: int = 0
-    deleted: bool = False
-
-
-class _RangePage(msgspec.Struct):
-    items: list[_Item] = []
-    has_more: bool = msgspec.field(default=False, name="HasMore")
-    as_of: int = msgspec.field(default=0, name="AsOf")
-
-
-class _EventList(msgspec.Struct):
-    events: list[_Item] = []
-    as_of: int = msgspec.field(default=0, name="AsOf")
-
-
-class _WriteResult(msgspec.Struct, rename="pascal"):
-    revision: int = 0
-
-
-class _Lease(msgspec.Struct):
-    lease_id: int = msgspec.field(default=0, name="LeaseId")
-    # The suffix of the wire name sets this field apart from the other `TtlS` in
-    # the platform's API.
-    ttl_s: float = msgspec.field(default=0.0, name="TtlS_time")
-
-
 class PlatformStore:
     """Client of the store at one address.
 
@@ -126,7 +99,7 @@
             return reply
         if reply.status == 404:
             return NotFound(key)
-        item = _decode(reply, _Item)
+        item = _decode(reply, Item)
         if isinstance(item, Unavailable):
             return item
         value = _decode_value(item)
@@ -154,7 +127,7 @@
             page = (
                 reply
                 if isinstance(reply, Unavailable)
-                else _decode(reply, _RangePage)
+                else _decode(reply, RangePage)
             )
             if isinstance(page, Unavailable):
                 return page
@@ -187,7 +160,7 @@
             return HistoryLost(f"restored, now in era {self._era}")
         if reply.status == 410:
             return HistoryLost(f"history after {number}")
-        events = _decode(reply, _EventList)
+        events = _decode(reply, EventList)
         if isinstance(events, Unavailable):
             return events
         changes = tuple(_key_change(item, self._era) for item in events.events)
@@ -259,7 +232,7 @@
             return Conflict(", ".join(expected))
         if reply.status == 404:
             return NotFound(f"lease {lease_id}")
-        written = _decode(reply, _WriteResult)
+        written = _decode(reply, WriteResult)
         if isinstance(written, Unavailable):
             return Unknown(written.reason)
         if any(era_of(revision) != self._era for revision in revisions):
@@ -283,7 +256,7 @@
         reply = await self._write("kv-lease", {"TtlS_time": ttl_s}, timeout_s)
         if isinstance(reply, Unavailable):
             return reply
-        lease = _decode(reply, _Lease)
+        lease = _decode(reply, Lease)
         if isinstance(lease, Unavailable):
             return lease
         self._lease_eras[lease.lease_id] = self._era
@@ -306,7 +279,7 @@
         if reply.status == 404 or self._lease_eras.get(lease_id) != self._era:
             self._lease_eras.pop(lease_id, None)
             return 0.0
-        lease = _decode(reply, _Lease)
+        lease = _decode(reply, Lease)
         return lease if isinstance(lease, Unavailable) else lease.ttl_s
 
     async def revoke_lease(
@@ -395,12 +368,12 @@
         return Unavailable(f"unreadable answer: {error}")
 
 
-def _key_change(item: _Item, era: int) -> KeyChange:
+def _key_change(item: Item, era: int) -> KeyChange:
     revision = in_era(era, item.revision)
     return KeyChange(item.key, _decode_value(item), revision)
 
 
-def _decode_value(item: _Item) -> bytes | None:
+def _decode_value(item: Item) -> bytes | None:
     """Returns the decoded value.
 
     Returns:
