--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from radishmux.dispatch.server_response import ServerResponse
+from radishmux.duties.usage_counter import RequestUsage
 from radishmux.http.incoming import IncomingRequest
 from radishmux.http.response import Response
 from radishmux.outcome import Unavailable
@@ -35,6 +36,8 @@
         has_caller_left: Whether nobody waits for the answer any more.
         holds_up_others: Whether the answers to later requests of the caller
             wait for this one.
+        usage: Attempts that count in the usage report; None: none yet.
+        is_counted_elsewhere: Whether a peer has counted the request.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         "headers",
         "holds_up_others",
         "host",
+        "is_counted_elsewhere",
         "key",
         "method",
         "path",
@@ -51,6 +55,7 @@
         "received_at",
         "request_id",
         "target",
+        "usage",
     )
 
     def __init__(
@@ -83,6 +88,8 @@
         self.received_at = received_at
         self.has_caller_left = has_caller_left
         self.holds_up_others = holds_up_others
+        self.usage: RequestUsage | None = None
+        self.is_counted_elsewhere = False
 
 
 class ExecutionReport:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -13,6 +13,7 @@
     NotSent,
     ServerResponse,
 )
+from radishmux.duties.usage_counter import UsageCounter
 from radishmux.gateway.call import Call, Dialect, ExecutionReport
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.load_exchange import LoadExchange
@@ -50,6 +51,7 @@
             it may be.
         sent_at: Monotonic time at which it was sent to the server; None if it
             has not been.
+        usage_window: Window of the usage report in which it was sent.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "route",
         "sent_at",
         "service_digest",
+        "usage_window",
     )
 
     def __init__(
@@ -81,6 +84,7 @@
         self.is_suspected = False
         self.obstacle: Callable[[], str] = lambda: ""
         self.sent_at: float | None = None
+        self.usage_window = -1
         self.call = call
         self.route = route
         self.customer = customer
@@ -105,6 +109,7 @@
         clock: Monotonic time.
         metrics: Counts the outcomes of attempts.
         loads: Shares the loads of servers; None: they are not shared.
+        usage: Counts the requests that were sent; None: nobody reports them.
     """
 
     def __init__(
@@ -119,8 +124,10 @@
         clock: Clock,
         metrics: Metrics,
         loads: LoadExchange | None = None,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._loads = loads
+        self._usage = usage
         self._metrics = metrics
         self._fleet = fleet
         self._placement = placement
@@ -228,6 +235,8 @@
         outcome = await self._send(attempt)
         if isinstance(outcome, NoResponse):
             outcome_name = outcome.reason
+            if outcome.verdict is Verdict.NOT_RUN:
+                self._revert_usage(attempt)
         else:
             outcome_name = f"status {outcome.status}"
         self._metrics.count(
@@ -324,8 +333,21 @@
         reason = attempt.obstacle() or self._obstacle(attempt.call, server)
         if not reason:
             attempt.sent_at = self._clock.now()
+            self._count_usage(attempt)
         return reason
 
+    def _count_usage(self, attempt: Attempt) -> None:
+        call = attempt.call
+        if self._usage is not None and not call.is_counted_elsewhere:
+            call.usage, attempt.usage_window = self._usage.record_sent(
+                call.usage, attempt.customer
+            )
+
+    def _revert_usage(self, attempt: Attempt) -> None:
+        usage = attempt.call.usage
+        if self._usage is not None and usage is not None:
+            self._usage.record_not_run(usage, attempt.usage_window)
+
     def _obstacle(self, call: Call, server: Server) -> str:
         if call.has_caller_left():
             return CALLER_LEFT
--- a/src/radishmux/platform/store.py
+++ b/src/radishmux/platform/store.py
@@ -15,6 +15,13 @@
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
 from radishmux.outcome import Conflict, NotFound, Unavailable, Unknown
 from radishmux.platform._records import first_part
+from radishmux.platform._store_documents import (
+    EventList,
+    Item,
+    Lease,
+    RangePage,
+    WriteResult,
+)
 from radishmux.store.interface import (
     Changes,
     Entry,
@@ -35,40 +42,6 @@
 _ERA = "store-era"
 
 
-class _Item(msgspec.Struct, rename="pascal"):
-    """A stored item or a change event.
-
-    The store may leave out every field except the key.
-    """
-
-    key: str
-    value: str = ""
-    revision: int = 0
-    deleted: bool = False
-
-
-class _RangePage(msgspec.Struct):
-    items: list[_Item] = []
-    has_more: bool = msgspec.field(default=False, name="HasMore")
-    as_of: int = msgspec.field(default=0, name="AsOf")
-
-
-class _EventList(msgspec.Struct):
-    events: list[_Item] = []
-    as_of: int = msgspec.field(default=0, name="AsOf")
-
-
-class _WriteResult(msgspec.Struct, rename="pascal"):
-    revision: int = 0
-
-
-class _Lease(msgspec.Struct):
-    lease_id: int = msgspec.field(default=0, name="LeaseId")
-    # The suffix of the wire name sets this field apart from the other `TtlS` in
-    # the platform's API.
-    ttl_s: float = msgspec.field(default=0.0, name="TtlS_time")
-
-
 class PlatformStore:
     """Client of the store at one address.
 
@@ -100,6 +73,11 @@
         """Number of calls made since the client was created."""
         return self._call_count
 
+    @property
+    def era(self) -> int:
+        """The latest era that a response named; 0 before the first one."""
+        return self._era
+
     async def __aenter__(self) -> PlatformStore:
         return self
 
@@ -122,7 +100,7 @@
             return reply
         if reply.status == 404:
             return NotFound(key)
-        item = _decode(reply, _Item)
+        item = _decode(reply, Item)
         if isinstance(item, Unavailable):
             return item
         value = _decode_value(item)
@@ -150,7 +128,7 @@
             page = (
                 reply
                 if isinstance(reply, Unavailable)
-                else _decode(reply, _RangePage)
+                else _decode(reply, RangePage)
             )
             if isinstance(page, Unavailable):
                 return page
@@ -183,7 +161,7 @@
             return HistoryLost(f"restored, now in era {self._era}")
         if reply.status == 410:
             return HistoryLost(f"history after {number}")
-        events = _decode(reply, _EventList)
+        events = _decode(reply, EventList)
         if isinstance(events, Unavailable):
             return events
         changes = tuple(_key_change(item, self._era) for item in events.events)
@@ -203,33 +181,64 @@
         been restored since, the key may have had that revision by chance, and
         the outcome is unknown.
         """
-        if expected_revision and era_of(expected_revision) != self._era:
-            return Conflict(key)
-        put = {
-            "Key": key,
-            "Value": base64.b64encode(value).decode(),
-            "LeaseId": lease_id,
-        }
+        written = await self.transact(
+            {key: expected_revision}, {key: value}, (), timeout_s, lease_id
+        )
+        return Entry(value, written) if isinstance(written, int) else written
+
+    async def transact(
+        self,
+        expected: dict[str, int],
+        puts: dict[str, bytes],
+        deletes: tuple[str, ...],
+        timeout_s: float,
+        lease_id: int = 0,
+    ) -> int | Conflict | Unknown | Unavailable:
+        """Writes and deletes keys if some keys have the expected revisions.
+
+        Revisions and eras are compared as in `compare_and_swap`.
+
+        Args:
+            expected: Revision of each key; 0: it must not exist.
+            puts: Values to write.
+            deletes: Keys to delete.
+            timeout_s: Time limit.
+            lease_id: Lease of the written keys; 0: none.
+
+        Returns:
+            The revision of the write.
+        """
+        revisions = [revision for revision in expected.values() if revision]
+        if any(era_of(revision) != self._era for revision in revisions):
+            return Conflict("an earlier era")
         body = {
             "Expected": [
-                {"Key": key, "Revision": number_of(expected_revision)}
+                {"Key": key, "Revision": number_of(revision)}
+                for key, revision in expected.items()
+            ],
+            "Puts": [
+                {
+                    "Key": key,
+                    "Value": base64.b64encode(value).decode(),
+                    "LeaseId": lease_id,
+                }
+                for key, value in puts.items()
             ],
-            "Puts": [put],
-            "Deletes": [],
+            "Deletes": list(deletes),
         }
         reply = await self._write("kv-txn", body, timeout_s)
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == 412:
-            return Conflict(key)
+            return Conflict(", ".join(expected))
         if reply.status == 404:
             return NotFound(f"lease {lease_id}")
-        written = _decode(reply, _WriteResult)
+        written = _decode(reply, WriteResult)
         if isinstance(written, Unavailable):
             return Unknown(written.reason)
-        if expected_revision and era_of(expected_revision) != self._era:
+        if any(era_of(revision) != self._era for revision in revisions):
             return Unknown("restored before the write")
-        return Entry(value, in_era(self._era, written.revision))
+        return in_era(self._era, written.revision)
 
     async def delete(
         self, key: str, timeout_s: float
@@ -248,7 +257,7 @@
         reply = await self._write("kv-lease", {"TtlS_time": ttl_s}, timeout_s)
         if isinstance(reply, Unavailable):
             return reply
-        lease = _decode(reply, _Lease)
+        lease = _decode(reply, Lease)
         if isinstance(lease, Unavailable):
             return lease
         self._lease_eras[lease.lease_id] = self._era
@@ -271,7 +280,7 @@
         if reply.status == 404 or self._lease_eras.get(lease_id) != self._era:
             self._lease_eras.pop(lease_id, None)
             return 0.0
-        lease = _decode(reply, _Lease)
+        lease = _decode(reply, Lease)
         return lease if isinstance(lease, Unavailable) else lease.ttl_s
 
     async def revoke_lease(
@@ -360,12 +369,12 @@
         return Unavailable(f"unreadable answer: {error}")
 
 
-def _key_change(item: _Item, era: int) -> KeyChange:
+def _key_change(item: Item, era: int) -> KeyChange:
     revision = in_era(era, item.revision)
     return KeyChange(item.key, _decode_value(item), revision)
 
 
-def _decode_value(item: _Item) -> bytes | None:
+def _decode_value(item: Item) -> bytes | None:
     """Returns the decoded value.
 
     Returns:
