Wait for the first attempt if only its hedge failed

What callers saw: 500 from the second server of a hedged request, while the first attempt was still in flight and could succeed; more often with early hedges. Cause: a failure was the final answer once no attempt was left, also beside one in flight. Now the failure is kept, and is the answer only if the other attempts give none before the deadline.

tests/gateway/test_request_flow.py passes.

--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -328,7 +328,7 @@
         )
         for task in done:
             outcome = task.result()
-            response = self._handle_outcome(state, outcome)
+            response = self._handle_outcome(state, outcome, bool(group.tasks))
             if response is not None:
                 return response
             if isinstance(outcome, NotSent):
@@ -468,10 +468,19 @@
         return outcome
 
     def _handle_outcome(
-        self, state: RequestState, outcome: ServerResponse | NoResponse
+        self,
+        state: RequestState,
+        outcome: ServerResponse | NoResponse,
+        has_others: bool,
     ) -> Response | None:
         """Records the outcome of an attempt.
 
+        Args:
+            state: The request.
+            outcome: The outcome.
+            has_others: Whether other attempts are in flight. A failure is no
+                answer then, since they may succeed.
+
         Returns:
             The answer for the caller, or None if the outcome gives none.
         """
@@ -487,7 +496,7 @@
             return None
         state.may_have_run = True
         state.last_response = outcome
-        if outcome.status >= 500 and self._may_try_again(state):
+        if outcome.status >= 500 and (has_others or self._may_try_again(state)):
             state.failure_reason = f"status {outcome.status}"
             return None
         return self._answer(state, outcome)
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -321,6 +321,20 @@
     assert len(sender.servers) == attempts
 
 
+@pytest.mark.parametrize(("first", "status"), [(OK, 200), (FAILED, 500)])
+async def test_failed_hedge_is_no_answer_while_the_first_attempt_runs(
+    first, status
+):
+    """Guards against a failure that only the second attempt has."""
+    sender = FakeSender((0.5, first), FAILED)
+    flow, _ = make_flow(sender)
+    work = flow._chooser._placement.work_times("s", "r")
+    for ratio in [1.0] * 300 + [7.0] * 10:
+        work.durations(True, False).record(ratio)
+    assert (await send_request(flow)).status == status
+    assert len(sender.servers) == 2
+
+
 async def test_early_hedges_leave_budget_for_retries():
     """Guards against shed requests that get no retry for the sake of hedges."""
     budgets = RetryBudgets(Bounds(retry_slack=50))
