--- a/src/radishmux/steer/admission.py
+++ b/src/radishmux/steer/admission.py
@@ -28,9 +28,10 @@
 # Shortest time over which a rate is measured.
 _MIN_RATE_S = 0.5
 # Load relative to the slots up to which a server takes requests that would run
-# cold there under shortage: they begin to run at once.
-MAX_COLD_LOAD = 1.0
-# The same for requests of the least urgent class: one slot's worth of queue.
+# cold there under shortage. On a server that is half empty, cold work takes no
+# time from others; see `placement.CROWDING_FACTOR`.
+MAX_COLD_LOAD = 0.5
+# The same for requests of the least urgent class: one waits for each slot.
 LEAST_URGENT_LOAD = 2.0
 # What the second most urgent of many classes may use beyond that, as a multiple
 # of the slots. The rest of the queue is left to the most urgent class.
