--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -185,12 +185,18 @@
 
     def _may_use(self, state: RequestState, server: Server, now: float) -> bool:
         """Whether a request may go to a server that is not paused."""
+        return self._is_open_to(state, server) and self._sender.may_send(
+            server, now
+        )
+
+    def _is_open_to(self, state: RequestState, server: Server) -> bool:
+        """Whether nothing that befell a request keeps it from a server."""
         denied = state.unavailable_servers
         if server.name in state.tried_servers or server.name in denied:
             return False
-        if len(denied) >= MAX_DENIALS and self._sender.needs_permit(server):
-            return False
-        return self._sender.may_send(server, now)
+        return len(denied) < MAX_DENIALS or not self._sender.needs_permit(
+            server
+        )
 
     def withheld_s(self, state: RequestState) -> float:
         """Returns for how long no server may get a request, in seconds.
@@ -225,11 +231,14 @@
         is_expected = False
         cold_per_s = 0.0
         for server in servers:
-            if (
-                server.name in state.tried_servers
-                or server.name in state.unavailable_servers
+            version = server.entry.version
+            if not state.rule.allows(version) and (
+                state.rule.only is None
+                or not state.rule.fallback().allows(version)
             ):
                 continue
+            if not self._is_open_to(state, server):
+                continue
             paused_until = self._placement.state_of(server).unavailable_until
             if paused_until > now + SHED_PAUSE_S:
                 continue
--- a/src/radishmux/gateway/waiting_requests.py
+++ b/src/radishmux/gateway/waiting_requests.py
@@ -8,23 +8,28 @@
 
 from radishmux.clock import Clock
 from radishmux.dispatch.server_response import NoResponse, ServerResponse
+from radishmux.gateway._crowded_service import CrowdedService
 from radishmux.gateway.request_state import RequestState
 from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.gateway.shortage_log import ShortageLog
 from radishmux.settings.gateway import AdmissionSettings
-from radishmux.steer.admission import ServiceAdmission
 from radishmux.steer.placement import Choice
-from radishmux.steer.return_times import ReturnTimes
 from radishmux.steer.server_contact import ServerContact
-from radishmux.steer.waiting_room import MAX_WAIT_SHARE, Waiter, WaitingRoom
+from radishmux.steer.waiting_room import (
+    MAX_WAIT_S,
+    MAX_WAIT_SHARE,
+    Waiter,
+)
 
 # Time after which a waiting request is placed again if nothing has happened: a
 # third of the pause of a server that rejected one.
 PROBE_PERIOD_S = 0.02
 # Shortest time between two passes over the waiting requests of a service, and
-# most placements in one. One placement takes up to 0.1 ms in a large fleet.
+# most placements in one.
 MIN_PASS_GAP_S = 0.005
 MAX_PROBES = 8
+# Largest share of the processor's time that passes take.
+MAX_PASS_SHARE = 0.1
 # Reasons for which no attempt is made, and for which waiting may help.
 WAITING_HELPS = frozenset({"no_server", "no_room", "in_turn"})
 # Beginning of the reasons of attempts that a full server has rejected.
@@ -33,25 +38,6 @@
 ROOM = ""
 
 
-class _Service:
-    """What is known of one service, and who waits for it.
-
-    Attributes:
-        admission: Decides who is sent.
-        room: Order of the waiting requests.
-        returns: When refused callers return.
-        next_pass_at: Monotonic time before which no pass is made.
-    """
-
-    __slots__ = ("admission", "next_pass_at", "returns", "room")
-
-    def __init__(self, max_waiting: int, floor: float) -> None:
-        self.admission = ServiceAdmission(floor)
-        self.room = WaitingRoom(max_waiting, floor)
-        self.returns = ReturnTimes()
-        self.next_pass_at = -math.inf
-
-
 class _Place:
     """The place of one request in a waiting room.
 
@@ -94,7 +80,7 @@
         self._settings = settings
         self._clock = clock
         self._log = log
-        self._services: dict[str, _Service] = {}
+        self._services: dict[str, CrowdedService] = {}
         self._places: dict[Waiter, _Place] = {}
         self._held_bytes = 0
         self._stop_at = math.inf
@@ -201,7 +187,8 @@
             return "long_queue"
         if state.waits_until is None:
             left_s = state.deadline - now
-            state.waits_until = now + MAX_WAIT_SHARE * left_s
+            longest_s = min(MAX_WAIT_S, MAX_WAIT_SHARE * left_s)
+            state.waits_until = now + longest_s
         waiter = Waiter(
             now,
             state.priority,
@@ -243,6 +230,7 @@
             return None
         return service.returns.pause_s(
             state.priority,
+            service.admission.rank(state.priority, now),
             service.room.ahead(state.priority, math.inf),
             service.admission.rate_per_s(state.priority, now),
             state.deadline - now,
@@ -251,13 +239,18 @@
         )
 
     def record_refusal(self, state: RequestState, reason: str) -> None:
-        """Counts a request that is refused for lack of room."""
+        """Counts a request that is refused for lack of room.
+
+        One that may have run gets another answer.
+        """
+        if state.may_have_run:
+            return
         state.refused_for = reason
         self._log.count_refusal(state.service, state.priority, reason)
 
     @staticmethod
     def _admits(
-        service: _Service,
+        service: CrowdedService,
         state: RequestState,
         choice: Choice,
         waited: float,
@@ -271,16 +264,16 @@
     def _reason_to_leave(self) -> str:
         return "waited" if self._stop_at == math.inf else "stopping"
 
-    def _service(self, state: RequestState) -> _Service:
+    def _service(self, state: RequestState) -> CrowdedService:
         service = self._services.get(state.service)
         if service is None:
-            service = self._services[state.service] = _Service(
+            service = self._services[state.service] = CrowdedService(
                 self._settings.max_waiting, self._settings.class_floor
             )
         return service
 
     def _log_shortage(
-        self, state: RequestState, service: _Service, now: float
+        self, state: RequestState, service: CrowdedService, now: float
     ) -> None:
         self._log.record(
             state.service,
@@ -290,7 +283,11 @@
         )
 
     def _add(
-        self, service: _Service, waiter: Waiter, state: RequestState, now: float
+        self,
+        service: CrowdedService,
+        waiter: Waiter,
+        state: RequestState,
+        now: float,
     ) -> str:
         refused = service.room.enter(waiter)
         if refused is not None and refused is not waiter:
@@ -313,7 +310,7 @@
         self._schedule()
         return ROOM
 
-    def _remove(self, service: _Service, waiter: Waiter) -> None:
+    def _remove(self, service: CrowdedService, waiter: Waiter) -> None:
         if self._places.pop(waiter, None) is not None:
             self._held_bytes -= waiter.size
         service.room.leave(waiter)
@@ -338,7 +335,7 @@
         self._schedule()
 
     def _run_pass(
-        self, service: _Service, now: float, has_news: bool = False
+        self, service: CrowdedService, now: float, has_news: bool = False
     ) -> None:
         """Releases the waiters for which there is room, in their order.
 
@@ -356,7 +353,6 @@
             self._end(waiter, self._reason_to_leave())
         if now < service.next_pass_at:
             return
-        service.next_pass_at = now + MIN_PASS_GAP_S
         probes = 0
         taken: set[str] = set()
         for waiter in service.room.order():
@@ -372,9 +368,13 @@
                 taken.add(server)
                 service.room.release(waiter)
                 self._end(waiter, ROOM)
+        spent_s = self._clock.now() - now
+        service.next_pass_at = now + max(
+            MIN_PASS_GAP_S, spent_s / MAX_PASS_SHARE
+        )
 
     def _server_with_room(
-        self, service: _Service, waiter: Waiter, now: float
+        self, service: CrowdedService, waiter: Waiter, now: float
     ) -> str:
         """Returns the server that has room for a waiter; empty if none has."""
         if self._contact.is_lost:
--- a/src/radishmux/steer/return_times.py
+++ b/src/radishmux/steer/return_times.py
@@ -27,6 +27,7 @@
     def pause_s(
         self,
         priority: int,
+        rank: float,
         waiting: int,
         rate_per_s: float,
         left_s: float,
@@ -40,6 +41,7 @@
 
         Args:
             priority: Class of the request.
+            rank: From 0 for the most urgent class to 1 for the least urgent.
             waiting: Waiting requests of the same and more urgent classes.
             rate_per_s: What the service completes; 0 if that is not known.
             left_s: Time that the caller still waits for an answer.
@@ -53,7 +55,7 @@
             turn_s = (ahead + 0.5 + jitter) / rate_per_s
         if turn_s > longest_s:
             # There is no room by then. Half of the time is used for jitter.
-            turn_s = longest_s * (0.5 + 0.5 * jitter)
+            turn_s = longest_s * (0.25 + 0.25 * rank + 0.5 * jitter)
         pause_s = min(longest_s, max(MIN_PAUSE_S * (1.0 + jitter), turn_s))
         returns = self._returns.setdefault(priority, [])
         if len(returns) < MAX_RETURNS:
--- a/src/radishmux/steer/waiting_room.py
+++ b/src/radishmux/steer/waiting_room.py
@@ -14,6 +14,9 @@
 # enough. Callers honour a Retry-After of a third of it, and need the rest to
 # be served at another instance.
 MAX_WAIT_SHARE = 0.5
+# Longest wait of requests with much time left. Bursts and cold starts take some
+# seconds; a longer shortage is not bridged by waiting.
+MAX_WAIT_S = 3.0
 # Share of the released requests that each less urgent class keeps.
 DEFAULT_FLOOR = 0.1
 
--- a/tests/gateway/test_waiting_requests.py
+++ b/tests/gateway/test_waiting_requests.py
@@ -14,6 +14,7 @@
 from radishmux.gateway.shortage_log import ShortageLog
 from radishmux.gateway.waiting_requests import WaitingRequests
 from radishmux.settings.gateway import AdmissionSettings
+from radishmux.shift.rollout import VersionRule
 from radishmux.telemetry.metrics import Metrics
 from tests.gateway import parts
 from tests.gateway.test_request_flow import (
@@ -162,3 +163,13 @@
             admission = flow._waiting._services["s"].admission
             admission.record_sign(0, flow._clock.now())
     assert flow._waiting._timer is None
+
+
+async def test_request_does_not_wait_for_a_version_that_it_may_not_use():
+    """Guards against waits that only a rolled back version could end."""
+    flow, lines = waiting_flow(FullSender())
+    rule = VersionRule(rejected=frozenset({"v1"}))
+    flow._chooser._rollouts.next_rule = lambda *_: rule
+    async with asyncio.timeout(0.1):
+        assert (await send_request(flow)).status == 503
+    assert b'"no_room":"no_server"' in lines.lines[0]
--- a/tests/steer/test_return_times.py
+++ b/tests/steer/test_return_times.py
@@ -14,7 +14,7 @@
     rng = random.Random(1)
     times = ReturnTimes()
     pauses = [
-        times.pause_s(1, 4, RATE_PER_S, 30.0, 0.0, rng.random())
+        times.pause_s(1, 0.5, 4, RATE_PER_S, 30.0, 0.0, rng.random())
         for _ in range(100)
     ]
     assert min(pauses) > 0.2
@@ -27,11 +27,11 @@
     """Guards against urgent requests that find the others there already."""
     times = ReturnTimes()
     for _ in range(20):
-        times.pause_s(2, 0, RATE_PER_S, 30.0, 0.0, 0.5)
-    assert times.pause_s(0, 0, RATE_PER_S, 30.0, 0.0, 0.5) < 0.1
-    assert times.pause_s(2, 0, RATE_PER_S, 30.0, 0.0, 0.5) > 1.0
+        times.pause_s(2, 1.0, 0, RATE_PER_S, 30.0, 0.0, 0.5)
+    assert times.pause_s(0, 0.0, 0, RATE_PER_S, 30.0, 0.0, 0.5) < 0.1
+    assert times.pause_s(2, 1.0, 0, RATE_PER_S, 30.0, 0.0, 0.5) > 1.0
     # Those that have returned are not counted any more.
-    assert times.pause_s(2, 0, RATE_PER_S, 30.0, 5.0, 0.5) < 0.1
+    assert times.pause_s(2, 1.0, 0, RATE_PER_S, 30.0, 5.0, 0.5) < 0.1
 
 
 def test_callers_keep_most_of_their_time():
@@ -40,8 +40,17 @@
     for rate_per_s in (0.0, 0.1):
         times = ReturnTimes()
         pauses = [
-            times.pause_s(0, 9, rate_per_s, 1.5, 0.0, rng.random())
+            times.pause_s(0, 0.0, 9, rate_per_s, 1.5, 0.0, rng.random())
             for _ in range(50)
         ]
         assert max(pauses) < 0.5
         assert max(pauses) - min(pauses) > 0.2
+
+
+def test_urgent_callers_return_before_others_where_there_is_no_room():
+    """Guards against classes that return in the order of their jitter only."""
+    pauses = [
+        ReturnTimes().pause_s(one, one / 2, 9, 0.1, 1.5, 0.0, 0.5)
+        for one in range(3)
+    ]
+    assert pauses == sorted(set(pauses))
