--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -61,7 +61,8 @@
 
     def build(self) -> web.Application:
         """Returns the application."""
-        app = web.Application(client_max_size=64 * 1024 * 1024)
+        # aiohttp refuses a body of exactly this size.
+        app = web.Application(client_max_size=64 * 1024 * 1024 + 1)
         app.router.add_get("/control", self._show)
         app.router.add_post("/control", self._control)
         app.router.add_route("*", "/{path:.*}", self._serve)
