Bound the memory and the connections of all gateway listeners together

Cause: each listener had a memory limit of its own; trailers were appended to the headers without a limit; bodies were lists of pieces, so that chunks of four bytes took ten times their size; all requests of one read were started; nothing limited connections, heads, or responses below the write buffer's limit.

Change: one MemoryBudget and one ConnectionLimit for all listeners, set by memory_mb and max_fds of the settings. When the memory is in use, callers who do not read are closed and the slowest uploads get 408; a request that still finds no room gets 503 before its handler starts. Bodies are refused by the head where it suffices.

--- a/src/radishmux/dispatch/request_digest.py
+++ b/src/radishmux/dispatch/request_digest.py
@@ -10,7 +10,7 @@
     service: str,
     method: str,
     target: str,
-    body: bytes,
+    body: bytes | bytearray,
     body_length: int | None,
 ) -> str:
     """Returns the digest of customer, service, method, target and body.
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -27,8 +27,10 @@
 from radishmux.gateway.fleet_state import FleetState
 from radishmux.gateway.gossip_state import GossipState
 from radishmux.gateway.guarded_sender import GuardedSender
+from radishmux.gateway.head_check import HeadCheck, PeerCheck
 from radishmux.gateway.holder_changes import HolderChanges
 from radishmux.gateway.rate_limiter import FleetRateLimiter
+from radishmux.gateway.rejection_log import RejectionLog
 from radishmux.gateway.relay_service import RelayService
 from radishmux.gateway.reports import FleetReports
 from radishmux.gateway.request_flow import RequestFlow
@@ -40,8 +42,10 @@
 from radishmux.gateway.server_chooser import ServerChooser
 from radishmux.gateway.token_log import TokenLog
 from radishmux.gateway.verdict_archive import VerdictArchive
+from radishmux.http.connection_limit import ConnectionLimit
 from radishmux.http.incoming import IncomingRequest
-from radishmux.http.pipelined import MAX_HELD_BYTES, PipelinedServer
+from radishmux.http.memory_budget import MemoryBudget, budget_bytes
+from radishmux.http.pipelined import PipelinedServer
 from radishmux.http.response import Response
 from radishmux.membership.peers import Peers
 from radishmux.membership.record import InstanceRecord, capacity_per_s
@@ -70,9 +74,6 @@
 # Callers may use an answer of the directory until its time to live is over.
 # An instance that is leaving still accepts their connections for this long.
 _CALLER_NOTICE_S = LOOKUP_TTL_S
-# Memory for the bodies of requests that peers relay: a third of that for those
-# of callers.
-_MAX_RELAYED_BYTES = MAX_HELD_BYTES // 3
 # Time reserved for closing connections before the platform sends SIGKILL.
 _KILL_MARGIN_S = 0.6
 
@@ -89,6 +90,9 @@
         self._contact = ServerContact()
         self._rng = random.Random()
         self._members: frozenset[str] = frozenset()
+        self._budget = MemoryBudget(budget_bytes(settings.memory_mb))
+        self._connections = ConnectionLimit(settings.max_fds)
+        self._rejections = RejectionLog(self._clock, self._metrics)
         self._callers: PipelinedServer | None = None
         self._relay_server: PipelinedServer | None = None
         self._record = InstanceRecord(
@@ -395,8 +399,10 @@
                     self._record.relay_address,
                     relay_service.handle,
                     CallerLimits(),
-                    on_rejected=self._on_rejected,
-                    max_held_bytes=_MAX_RELAYED_BYTES,
+                    on_rejected=self._rejections.record,
+                    budget=self._budget,
+                    connection_limit=self._connections,
+                    check_head=PeerCheck(self._peers).refuse,
                 )
             )
         listen = settings.listen
@@ -409,13 +415,27 @@
         ):
             if not address:
                 continue
-            await stack.enter_async_context(PipelinedServer(address, handler))
+            await stack.enter_async_context(
+                PipelinedServer(
+                    address,
+                    handler,
+                    on_rejected=self._rejections.record,
+                    budget=self._budget,
+                    connection_limit=self._connections,
+                    takes_bodies=False,
+                )
+            )
         self._callers = await stack.enter_async_context(
             PipelinedServer(
                 listen.caller,
                 flow.handle,
-                on_rejected=self._on_rejected,
+                on_rejected=self._rejections.record,
                 on_not_started=flow.record_not_started,
+                budget=self._budget,
+                connection_limit=self._connections,
+                check_head=HeadCheck(
+                    self._fleet, dialect, clock, decision_log
+                ).refuse,
             )
         )
         self._apply_caller_limits()
@@ -433,14 +453,12 @@
         """Returns the names of the registered instances, sorted."""
         return sorted({*self._fleet.instances, self._settings.instance})
 
-    def _on_rejected(self, reason: str) -> None:
-        self._metrics.count("gateway_unreadable_total", reason=reason)
-        state_change("request", "unreadable", "WARNING", reason=reason)
-
     async def _metrics_page(self, request: IncomingRequest) -> Response:
         """Returns the metrics in the text format of Prometheus."""
         now = self._clock.now()
         metrics = self._metrics
+        metrics.set("gateway_caller_memory_bytes", self._budget.used_bytes)
+        metrics.set("gateway_open_connections", self._connections.count)
         metrics.set("gateway_store_calls", self._store.calls)
         age_s = self._mirror.contact_age_s(now)
         metrics.set("gateway_store_contact_age_seconds", age_s)
--- a/src/radishmux/gateway/call.py
+++ b/src/radishmux/gateway/call.py
@@ -58,7 +58,7 @@
         method: str,
         target: str,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         request_id: str,
         key: str | None,
         affinity: str | None,
--- a/src/radishmux/gateway/daemon.py
+++ b/src/radishmux/gateway/daemon.py
@@ -12,6 +12,7 @@
 import uvloop
 from loguru import logger
 
+from radishmux.allocator import return_freed_memory
 from radishmux.gateway.app import GatewayApp
 from radishmux.settings.gateway import GatewaySettings, load_gateway
 from radishmux.settings.loader import SettingsError
@@ -105,4 +106,5 @@
     except SettingsError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_WRONG_SETTINGS)
+    return_freed_memory()
     uvloop.run(_run(path, settings, version))
--- a/src/radishmux/gateway/request_relay.py
+++ b/src/radishmux/gateway/request_relay.py
@@ -126,7 +126,7 @@
             method=call.method,
             target=call.target,
             headers=relay_codec.encode_headers(call.headers),
-            body=call.body,
+            body=bytes(call.body),
             config_version=config_version,
             service_name=state.service,
             tried=state.tried_servers,
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
@@ -11,6 +12,7 @@
 import httptools
 from loguru import logger
 
+from radishmux.http._progress import Progress
 from radishmux.http._remote_end import RemoteEnd
 from radishmux.http.incoming import (
     CALLER_LEFT,
@@ -36,6 +38,33 @@
 # Size of a connection's write buffer above which it sends no further responses
 # and reads no further requests: half the size of the largest responses.
 WRITE_BUFFER_BYTES = 256 * 1024
+# Memory of one field beside its characters: two strings, a tuple and its place
+# in the list.
+_FIELD_BYTES = 170
+# The colon, the space and the end of the line of a field.
+_FIELD_WIRE_BYTES = 4
+# Memory of one connection without requests, and of one request beside its
+# fields and its body.
+_CONNECTION_BYTES = 6 * 1024
+_REQUEST_BYTES = 8 * 1024
+# Copies of a head while a request is in progress: its decoded target, and the
+# head that is sent to a server.
+_HEAD_COPIES = 2
+# Bytes parsed at a time, so that few requests are read beyond those that may
+# wait. A body of known length is parsed at once.
+_HEAD_SLICE_BYTES = 4 * 1024
+_CHUNKS_SLICE_BYTES = 16 * 1024
+# The rest of a body that is not wanted is read up to this size, so that the
+# connection can be used again.
+_MAX_DISCARDED_BYTES = 64 * 1024
+# A body that has grown by this much makes its connection one of use.
+_USEFUL_BODY_BYTES = 64 * 1024
+# A caller reads slowly if it leaves this much of its responses for this long.
+_LARGE_UNSENT_BYTES = 16 * 1024
+_SLOW_READ_S = 0.5
+# Receive buffer in the kernel of connections that are not read, and of all new
+# ones while many are open.
+_SMALL_RECEIVE_BYTES = 16 * 1024
 
 
 class _PendingResponse:
@@ -43,7 +72,8 @@
 
     Attributes:
         closes: Whether the connection ends after the response.
-        held_bytes: Memory reserved for the body of the request.
+        body_bytes: Size of the body of the request.
+        held_bytes: Memory of the request.
         is_head: Whether the response is sent without its body.
         request: The request, or None once its handler has been started.
         response: The response, or None while the request is processed.
@@ -51,6 +81,7 @@
     """
 
     __slots__ = (
+        "body_bytes",
         "closes",
         "held_bytes",
         "is_head",
@@ -60,8 +91,13 @@
     )
 
     def __init__(
-        self, closes: bool, is_head: bool, held_bytes: int = 0
+        self,
+        closes: bool,
+        is_head: bool,
+        held_bytes: int = 0,
+        body_bytes: int = 0,
     ) -> None:
+        self.body_bytes = body_bytes
         self.closes = closes
         self.held_bytes = held_bytes
         self.is_head = is_head
@@ -83,6 +119,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingResponse] = deque()
         self._timer: asyncio.TimerHandle | None = None
+        self._aborted = False
         self._closing = False
         self._lingering = False
         self._reading_paused = False
@@ -91,8 +128,26 @@
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        # Declared size of the body; None if it is chunked.
+        self._declared_bytes: int | None = 0
+        self._fields_bytes = 0
+        # Size of the header or the trailer as received.
+        self._field_wire_bytes = 0
+        # Bytes of a chunked body since the last ones that belong to its data.
+        self._framing_bytes = 0
+        # The response to a request whose body is discarded.
+        self._refusal: Response | None = None
+        # Memory and bodies of the requests that handlers work on.
+        self._held_bytes = 0
+        self._held_body_bytes = 0
+        # Received but not parsed, since enough requests wait.
+        self._unparsed = bytearray()
+        self._progress = Progress()
+        # Lookups and checks are answered at once, one after the other.
+        self._max_pipelined = MAX_PIPELINED if server.takes_bodies else 1
+        self._written_at = -math.inf
         self._in_request = False
         self._in_body = False
         self._received_at = 0.0
@@ -108,7 +163,13 @@
         self._remote_end = RemoteEnd(self._transport)
         peer = transport.get_extra_info("peername")
         self._remote_host = peer[0] if peer else ""
-        self._server.add_connection(self)
+        if not self._server.add_connection(self):
+            self._closing = True
+            self._transport.abort()
+            return
+        if self._server.connection_limit.is_crowded:
+            self._bound_receive_buffer()
+        self._settle()
         self._set_timer(self._server.limits.idle_timeout_s, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -119,21 +180,57 @@
         self._cancel_pending(self._end_reason)
         self._transport = self._remote_end = None
         self._server.remove_connection(self)
+        self._settle()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and rejects them if they are not valid."""
         if self._closing:
             return
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            self._parse(data)
+        if self._server.draining and self._pending:
+            self._end_with_last()
+        self._settle_unfinished()
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes until enough requests wait; keeps the others."""
+        rest = memoryview(data)
+        while rest and not self._closing:
+            if len(self._pending) >= self._max_pipelined:
+                self._unparsed += rest
+                if self._in_request and not self._writing_paused:
+                    # Its caller does not keep the rest of it back.
+                    self._cancel_timer()
+                return
+            size = self._slice_bytes()
+            self._parse_slice(rest[:size])
+            rest = rest[size:]
+
+    def _slice_bytes(self) -> int:
+        if not self._in_body:
+            return _HEAD_SLICE_BYTES
+        if self._declared_bytes is None:
+            return _CHUNKS_SLICE_BYTES
+        return max(1, self._declared_bytes - self._body_bytes)
+
+    def _parse_slice(self, data: memoryview) -> None:
+        now = self._loop.time()
         if not self._in_request:
             self._in_request = True
             self._head_bytes = 0
+            self._progress.start(now)
             self._set_timer(
                 self._server.limits.header_timeout_s, self._on_slow_request
             )
         elif self._in_body:
             self._set_timer(BODY_IDLE_S, self._on_slow_request)
+        self._progress.add(len(data), now)
         if not self._in_body:
             self._head_bytes += len(data)
+        elif self._declared_bytes is None:
+            self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -143,14 +240,35 @@
             if self._pending:
                 self._pending[-1].closes = True
         except httptools.HttpParserError as error:
-            self._reject(_rejection_reason(error))
-        if self._server.draining and self._pending:
-            self._end_with_last()
-        if self._in_request and not self._in_body and not self._closing:
+            cause = error.__context__ or error.__cause__
+            if isinstance(cause, _RefusedError):
+                self._end_with(cause.response)
+            else:
+                self._reject(_rejection_reason(error))
+        if self._in_request and not self._closing:
             limit = self._server.limits.max_header_bytes
-            if self._head_bytes > limit:
+            received = (
+                self._framing_bytes if self._in_body else self._head_bytes
+            )
+            if received > limit + _CHUNKS_SLICE_BYTES * self._in_body:
                 self._reject("header_too_large")
 
+    def _parse_rest(self) -> None:
+        """Parses what was kept when enough requests waited."""
+        if self._closing or self._transport is None or not self._unparsed:
+            return
+        if len(self._pending) >= self._max_pipelined or self._writing_paused:
+            return
+        data, self._unparsed = bytes(self._unparsed), bytearray()
+        if self._in_request and not self._in_body:
+            self._set_timer(
+                self._server.limits.header_timeout_s, self._on_slow_request
+            )
+        self._parse(data)
+        self._settle_unfinished()
+        if not self._closing and len(self._pending) < self._max_pipelined:
+            self._resume_reading()
+
     def pause_writing(self) -> None:
         """Stops reading and sending while the write buffer is full."""
         self._writing_paused = True
@@ -186,66 +304,149 @@
         self._in_request = True
         self._target = b""
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_bytes = self._framing_bytes = 0
+        self._declared_bytes = 0
+        self._fields_bytes = self._field_wire_bytes = 0
+        self._refusal = None
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Appends a header with its name in lower case."""
+        """Appends a header with its name in lower case; drops a trailer.
+
+        Raises:
+            _RejectedError: The header or the trailer is too large.
+        """
+        size = len(name) + len(value)
+        self._field_wire_bytes += size + _FIELD_WIRE_BYTES
+        if self._field_wire_bytes > self._server.limits.max_header_bytes:
+            raise _RejectedError("header_too_large")
+        if self._in_body:
+            return
+        self._fields_bytes += size + _FIELD_BYTES
         self._headers.append(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
         )
 
     def on_headers_complete(self) -> None:
-        """Checks the header and body size; sends an expected 100 Continue.
+        """Checks the head; sends an expected 100 Continue.
 
         Raises:
-            _RejectedError: The header or the declared body is too large.
+            _RejectedError: The header or the declared body is too large, or
+                the listener takes no bodies.
+            _RefusedError: The head suffices to refuse the request, and its body
+                is too large to be skipped.
         """
         self._received_at = self._loop.time()
         self._in_body = True
+        self._field_wire_bytes = 0
         limits = self._server.limits
         size = len(self._target) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
         if size > limits.max_header_bytes:
             raise _RejectedError("header_too_large")
+        expects_continue = False
         for name, value in self._headers:
-            if name == "content-length" and (
-                not value.isdigit() or int(value) > limits.max_body_bytes
-            ):
-                raise _RejectedError("body_too_large")
-            if name == "expect" and not self._pending:
-                assert self._transport is not None
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if name == "content-length":
+                if not value.isdigit() or int(value) > limits.max_body_bytes:
+                    raise _RejectedError("body_too_large")
+                self._declared_bytes = int(value)
+            elif name == "transfer-encoding":
+                self._declared_bytes = None
+            elif name == "expect":
+                expects_continue = True
+        if self._declared_bytes != 0:
+            self._check_head()
+        if expects_continue and not self._pending and self._refusal is None:
+            assert self._transport is not None
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _check_head(self) -> None:
+        """Refuses a request with a body for which its head suffices."""
+        if not self._server.takes_bodies:
+            raise _RejectedError("body_not_taken")
+        if self._server.check_head is None:
+            return
+        self._refusal = self._server.check_head(self._new_request(b""))
+        if self._refusal is not None and (
+            (self._declared_bytes or 0) > _MAX_DISCARDED_BYTES
+        ):
+            raise _RefusedError(self._refusal)
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body.
 
         Raises:
-            _RejectedError: The body is too large, or the server has no memory
-                left for bodies.
+            _RejectedError: The body is too large.
+            _RefusedError: The body of a refused request is too large.
         """
+        if self._body_bytes // _USEFUL_BODY_BYTES != (
+            (self._body_bytes + len(body)) // _USEFUL_BODY_BYTES
+        ):
+            self._server.connection_limit.touch(self)
         self._body_bytes += len(body)
+        self._framing_bytes = 0
         if self._body_bytes > self._server.limits.max_body_bytes:
             raise _RejectedError("body_too_large")
-        if not self._server.reserve_memory(len(body)):
-            raise _RejectedError("memory_full")
-        self._body.append(body)
+        if self._refusal is None:
+            self._body += body
+        elif self._body_bytes > _MAX_DISCARDED_BYTES:
+            raise _RefusedError(self._refusal)
 
     def on_message_complete(self) -> None:
-        """Starts the handler for a complete request."""
-        body = b"".join(self._body)
-        self._body = []
+        """Starts the handler for a complete request.
+
+        Raises:
+            _RejectedError: There is no memory left for the request, or too
+                many others are in progress.
+        """
+        method = self._parser.get_method()
+        head_bytes = self._fields_bytes + len(self._target)
+        request_bytes = _REQUEST_BYTES + _HEAD_COPIES * head_bytes
+        pending = _PendingResponse(
+            not self._parser.should_keep_alive(),
+            method == b"HEAD",
+            request_bytes + self._unfinished_bytes,
+            len(self._body),
+        )
+        limit = self._server.connection_limit
+        if (
+            self._refusal is None
+            and self._server.takes_bodies
+            and limit.requests >= limit.max_requests
+        ):
+            raise _RejectedError("requests_full")
+        if self._refusal is None and not self._server.budget.allows(
+            self,
+            self.size + request_bytes,
+            not self._server.takes_bodies,
+        ):
+            raise _RejectedError("memory_full")
+        # A large body is not copied.
+        is_small = len(self._body) < _USEFUL_BODY_BYTES
+        body = bytes(self._body) if is_small else self._body
+        self._body = bytearray()
         self._in_request = self._in_body = False
-        self._head_bytes = 0
+        self._head_bytes = self._fields_bytes = 0
         self._cancel_timer()
-        method = self._parser.get_method().decode("latin-1")
-        request = IncomingRequest(
-            method,
+        limit.touch(self)
+        self._pending.append(pending)
+        if self._refusal is None:
+            self._start_handler(pending, self._new_request(body))
+        else:
+            pending.response, self._refusal = self._refusal, None
+            self._loop.call_soon(self._flush_if_open)
+        self._headers = []
+        if len(self._pending) >= self._max_pipelined:
+            self._pause_reading()
+
+    def _new_request(self, body: bytes | bytearray) -> IncomingRequest:
+        return IncomingRequest(
+            self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
             body,
@@ -253,20 +454,124 @@
             self.has_caller_left,
             self._remote_host,
         )
-        pending = _PendingResponse(
-            not self._parser.should_keep_alive(), method == "HEAD", len(body)
-        )
+
+    def _start_handler(
+        self, pending: _PendingResponse, request: IncomingRequest
+    ) -> None:
         pending.request = request
-        self._pending.append(pending)
+        self._server.connection_limit.requests += 1
+        self._held_bytes += pending.held_bytes
+        self._held_body_bytes += pending.body_bytes
         pending.task = self._loop.create_task(
             self._run_handler(pending, request)
         )
         # A callback also runs if the task is cancelled before it starts.
         pending.task.add_done_callback(
-            lambda _: self._server.release_memory(pending.held_bytes)
+            lambda _: self._release(pending.held_bytes, pending.body_bytes)
         )
-        if len(self._pending) >= MAX_PIPELINED:
-            self._pause_reading()
+
+    def _flush_if_open(self) -> None:
+        if self._transport is not None and not self._writing_paused:
+            self._flush()
+
+    # Memory.
+
+    @property
+    def held_body_bytes(self) -> int:
+        """Size of the bodies of unanswered requests."""
+        return len(self._body) + self._held_body_bytes
+
+    @property
+    def _unfinished_bytes(self) -> int:
+        """Memory of the request that is being received."""
+        return self._fields_bytes + len(self._target) + len(self._body)
+
+    @property
+    def size(self) -> int:
+        """Memory of the connection and all of its requests."""
+        if self._transport is None:
+            return self._held_bytes
+        return (
+            _CONNECTION_BYTES
+            + self._held_bytes
+            + self._unfinished_bytes
+            + len(self._unparsed)
+            + self.unsent_bytes
+        )
+
+    def _settle(self) -> None:
+        """Reports the size, which cannot be refused."""
+        self._server.budget.set_size(self, self.size)
+
+    def _settle_unfinished(self) -> None:
+        """Reports the size; gives up what is received if it is too much."""
+        if self._server.budget.allows(
+            self, self.size, not self._server.takes_bodies
+        ):
+            return
+        if self._closing:
+            self._settle()
+        elif self._in_request or (self._unparsed and not self._pending):
+            self._reject("memory_full")
+        elif self._unparsed:
+            # As if the bytes had not been received.
+            self._end_with_last()
+            self._settle()
+        else:
+            self._settle()
+
+    def _release(self, size: int, body_bytes: int) -> None:
+        self._server.connection_limit.requests -= 1
+        self._held_bytes -= size
+        self._held_body_bytes -= body_bytes
+        self._settle()
+
+    @property
+    def can_give_up(self) -> bool:
+        """Whether a request is arriving, or a response is not read."""
+        return self._transport is not None and (
+            (self._in_request and not self._closing) or self._reads_slowly
+        )
+
+    @property
+    def _reads_slowly(self) -> bool:
+        """Whether a large response has not been read for some time."""
+        if self._aborted:
+            return False
+        return self._writing_paused or (
+            self.unsent_bytes > _LARGE_UNSENT_BYTES
+            and self._loop.time() - self._written_at > _SLOW_READ_S
+        )
+
+    def progress(self, now: float) -> float:
+        """Returns how fast a request arrives, in bytes/s."""
+        return 0.0 if self._reads_slowly else self._progress.rate(now)
+
+    def give_up(self) -> None:
+        """Ends a connection whose caller sends or reads too slowly."""
+        if self._reads_slowly:
+            self._server.report_rejection("caller_too_slow")
+            self.abort()
+        else:
+            self._reject("upload_given_up")
+        self._settle()
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether a complete request is not answered yet."""
+        return bool(self._pending)
+
+    def close_for_another(self) -> None:
+        """Closes a connection without complete requests at once."""
+        self._server.report_rejection("connections_full")
+        self.abort()
+
+    def _bound_receive_buffer(self) -> None:
+        sock = self._transport and self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_RECEIVE_BYTES
+            )
 
     # Departure of the caller.
 
@@ -298,6 +603,7 @@
         self._discard_body()
         self._in_request = self._in_body = False
         self._closing = True
+        self._unparsed = bytearray()
         self._resume_reading()
         if ready:
             ready[-1].closes = True
@@ -326,6 +632,7 @@
         pending.task = None
         if self._writing_paused:
             self._server.on_write_paused(self)
+            self._settle()
         else:
             self._flush()
 
@@ -343,14 +650,19 @@
             pending = self._pending.popleft()
             closes = pending.closes
             head = render_head(response, closes)
+            self._written_at = self._loop.time()
             transport.write(head if pending.is_head else head + response.body)
             if closes:
                 self._close_after_response()
                 return
+        self._settle()
         if self._writing_paused:
             return
-        if len(self._pending) < MAX_PIPELINED:
-            self._resume_reading()
+        if len(self._pending) < self._max_pipelined:
+            if self._unparsed:
+                self._loop.call_soon(self._parse_rest)
+            else:
+                self._resume_reading()
         if not self._pending and not self._in_request:
             self._set_timer(self._server.limits.idle_timeout_s, self.close)
 
@@ -362,6 +674,7 @@
         """
         self._cancel_pending(CONNECTION_ENDS)
         self._closing = self._lingering = True
+        self._unparsed = bytearray()
         # Unread input would reset the connection when it is closed.
         self._resume_reading()
         transport = self._transport
@@ -416,10 +729,14 @@
     def _reject(self, reason: str) -> None:
         """Queues an error response after the pending ones, then closes."""
         self._server.report_rejection(reason)
+        self._end_with(INVALID_REQUESTS[reason])
+
+    def _end_with(self, response: Response) -> None:
+        """Queues a response after the pending ones, then closes."""
         self._discard_body()
         self._in_request = self._in_body = False
         pending = _PendingResponse(True, False)
-        pending.response = INVALID_REQUESTS[reason]
+        pending.response = response
         self._pending.append(pending)
         self._stop_reading()
         self._cancel_timer()
@@ -454,7 +771,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes of completed responses not yet passed to the socket."""
-        if self._transport is None:
+        if self._transport is None or self._aborted:
             return 0
         waiting = sum(
             len(pending.response.body)
@@ -479,17 +796,19 @@
             reason: Why the requests in flight are cancelled.
         """
         self._end_reason = reason
+        self._aborted = True
         if self._transport is not None:
             self._transport.abort()
 
     def _discard_body(self) -> None:
-        if self._body:
-            self._server.release_memory(sum(map(len, self._body)))
-        self._body = []
+        self._body = bytearray()
+        self._headers = []
+        self._fields_bytes = 0
 
     def _stop_reading(self) -> None:
         """Ignores further input; requests in flight are still answered."""
         self._closing = True
+        self._unparsed = bytearray()
 
     def _pause_reading(self) -> None:
         # Input that is ignored is read on, since closing a socket with unread
@@ -498,6 +817,7 @@
             return
         self._reading_paused = True
         self._transport.pause_reading()
+        self._bound_receive_buffer()
         self._server.on_reading_paused(self)
 
     def _resume_reading(self) -> None:
@@ -528,6 +848,18 @@
         self.reason = reason
 
 
+class _RefusedError(Exception):
+    """A request that is refused before its body is received.
+
+    Attributes:
+        response: The response to it.
+    """
+
+    def __init__(self, response: Response) -> None:
+        super().__init__(response.status)
+        self.response = response
+
+
 def _rejection_reason(error: Exception) -> str:
     cause = error.__context__ or error.__cause__
     if isinstance(cause, _RejectedError):
--- a/src/radishmux/http/incoming.py
+++ b/src/radishmux/http/incoming.py
@@ -26,7 +26,8 @@
         method: HTTP method.
         target: Path and query, not decoded.
         headers: Names in lower case, and values.
-        body: The complete body.
+        body: The complete body, which must not be changed; large ones are a
+            bytearray, since a copy as bytes would take as much memory again.
         received_at: Monotonic time at which the header was complete, in s.
         has_caller_left: Whether the caller has closed the connection. Asks the
             kernel, so that it holds also before the event loop has read the
@@ -49,7 +50,7 @@
         method: str,
         target: str,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         received_at: float,
         has_caller_left: Callable[[], bool] = _stays,
         remote_host: str = "",
--- a/src/radishmux/http/pipelined.py
+++ b/src/radishmux/http/pipelined.py
@@ -15,17 +15,17 @@
 from radishmux.config.routing import CallerLimits
 from radishmux.http._connection import Connection
 from radishmux.http._remote_end import DEPARTURE_CHECK_S
+from radishmux.http.connection_limit import ConnectionLimit
 from radishmux.http.incoming import CANCELLED, IncomingRequest
+from radishmux.http.memory_budget import MemoryBudget, budget_bytes
 from radishmux.http.response import Response
 
-# Memory for the request bodies of all callers: a quarter of the memory of a
-# small machine.
-MAX_HELD_BYTES = 72 * 1024 * 1024
-# Memory for responses to callers that read slowly: half of MAX_HELD_BYTES.
+# Memory for responses to callers that read slowly, which is a part of the
+# memory for all connections.
 MAX_UNSENT_BYTES = 36 * 1024 * 1024
-_BACKLOG = 1024
 
 Handler = Callable[[IncomingRequest], Awaitable[Response]]
+HeadCheck = Callable[[IncomingRequest], Response | None]
 
 
 class PipelinedServer:
@@ -42,7 +42,11 @@
             of slow callers are aborted.
         on_not_started: Called with each request that is not passed to the
             handler because its caller has left.
-        max_held_bytes: Memory for the bodies of unanswered requests.
+        budget: Memory for connections, which other listeners may share.
+        connection_limit: Limit of connections, which they may share too.
+        takes_bodies: Whether requests may have a body.
+        check_head: Returns the refusal of a request, which has no body yet, or
+            None. Called for requests that have a body.
     """
 
     def __init__(
@@ -53,9 +57,16 @@
         on_rejected: Callable[[str], None] | None = None,
         max_unsent_bytes: int = MAX_UNSENT_BYTES,
         on_not_started: Callable[[IncomingRequest], None] | None = None,
-        max_held_bytes: int = MAX_HELD_BYTES,
+        budget: MemoryBudget | None = None,
+        connection_limit: ConnectionLimit | None = None,
+        takes_bodies: bool = True,
+        check_head: HeadCheck | None = None,
     ) -> None:
-        self._max_held_bytes = max_held_bytes
+        self.budget = budget or MemoryBudget(budget_bytes(None))
+        self.connection_limit = connection_limit or ConnectionLimit()
+        self.takes_bodies = takes_bodies
+        self.check_head = check_head
+        max_unsent_bytes = min(max_unsent_bytes, self.budget.limit)
         self._on_not_started = on_not_started
         self._max_unsent_bytes = max_unsent_bytes
         self._slow_connections: set[Connection] = set()
@@ -66,7 +77,6 @@
         self.limits = limits or CallerLimits()
         self.draining = False
         self._on_rejected = on_rejected
-        self._held_bytes = 0
         self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
 
@@ -77,8 +87,8 @@
 
     @property
     def held_bytes(self) -> int:
-        """Memory reserved for the bodies of unanswered requests."""
-        return self._held_bytes
+        """Size of the bodies of unanswered requests."""
+        return sum(one.held_body_bytes for one in self._connections)
 
     @property
     def unsent_bytes(self) -> int:
@@ -97,7 +107,7 @@
             lambda: Connection(self),
             host,
             int(port),
-            backlog=_BACKLOG,
+            backlog=self.connection_limit.backlog,
             family=socket.AF_INET,
         )
         sockets = self._server.sockets
@@ -133,13 +143,18 @@
 
     # Called by Connection.
 
-    def add_connection(self, connection: Connection) -> None:
-        """Registers a new connection."""
+    def add_connection(self, connection: Connection) -> bool:
+        """Registers a new connection; False if it has to be closed."""
+        if not self.connection_limit.add(connection):
+            self.report_rejection("connections_full")
+            return False
         self._connections.add(connection)
+        return True
 
     def remove_connection(self, connection: Connection) -> None:
         """Removes a closed connection."""
         self._connections.discard(connection)
+        self.connection_limit.remove(connection)
         self._slow_connections.discard(connection)
         self._unread_connections.discard(connection)
 
@@ -187,21 +202,6 @@
         """Removes a connection from the slow connections."""
         self._slow_connections.discard(connection)
 
-    def reserve_memory(self, size: int) -> bool:
-        """Reserves memory for a request body.
-
-        Returns:
-            False if the limit for all bodies would be exceeded.
-        """
-        if self._held_bytes + size > self._max_held_bytes:
-            return False
-        self._held_bytes += size
-        return True
-
-    def release_memory(self, size: int) -> None:
-        """Releases memory that was reserved for a request body."""
-        self._held_bytes -= size
-
     def report_not_started(self, request: IncomingRequest) -> None:
         """Passes a request whose caller has left to `on_not_started`."""
         if self._on_not_started is not None:
--- a/src/radishmux/http/response.py
+++ b/src/radishmux/http/response.py
@@ -41,9 +41,12 @@
     for reason, status in (
         ("malformed_request", 400),
         ("request_too_slow", 408),
+        ("upload_given_up", 408),
+        ("body_not_taken", 413),
         ("body_too_large", 413),
         ("header_too_large", 431),
         ("memory_full", 503),
+        ("requests_full", 503),
     )
 }
 
--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -102,6 +102,9 @@
         cpu_share: Share of each core that the process may use.
         cores: Speed of the machine's cores relative to a usual one.
         link_mbps: Bandwidth of the machine.
+        memory_mb: Memory of the machine; null is that of the smallest one.
+        max_fds: File descriptors that the process may open, of which 200 are
+            reserved for files; null is the limit of the system.
         full_mesh_max: Up to this many instances, each exchanges reports with
             every other one; in larger fleets through hubs.
         logs: Log output.
@@ -118,6 +121,8 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float | None = None
+    max_fds: int | None = None
     full_mesh_max: int = FULL_MESH_MAX
     logs: LogSettings = LogSettings()
 
--- a/src/radishmux/telemetry/catalogue.py
+++ b/src/radishmux/telemetry/catalogue.py
@@ -182,6 +182,14 @@
     _counter(
         "gateway_unreadable_total", "Requests that could not be read.", "reason"
     ),
+    _gauge(
+        "gateway_caller_memory_bytes",
+        "Memory of the connections and requests of all listeners.",
+    ),
+    _gauge(
+        "gateway_open_connections",
+        "Connections that callers and peers have open at all listeners.",
+    ),
     _gauge("gateway_store_calls", "Calls to the store since the start."),
     _gauge("gateway_store_contact_age_seconds", "Age of the store's answer."),
     _gauge("gateway_servers", "Backend servers known."),
