Bound the connections of radishmuxd's listeners and their buffers

Cause: sanic limits what one connection buffers, but not the number of connections, nor what all of them hold. Small chunks of a body were kept as a list of pieces.

Change: BufferMonitor closes connections beyond a count derived from the system's descriptor limit, and the largest ones beyond 90 MB, for each listener, every 0.05 s. Bodies are collected in one buffer.

--- a/src/radishmux/http/bodies.py
+++ b/src/radishmux/http/bodies.py
@@ -50,13 +50,15 @@
             raise CallerBodyError("body_too_large", 413)
         if length is not None and length > BUFFER_BYTES:
             return RequestBody(None, self._stream_pieces(b""), length)
-        pieces: list[bytes] = []
+        # One buffer: a list of chunks of a few bytes takes many times their
+        # size.
+        received = bytearray()
         while self._size <= BUFFER_BYTES:
             piece = await self._read_piece()
             if piece is None:
-                return RequestBody(b"".join(pieces))
-            pieces.append(piece)
-        prefix = b"".join(pieces)
+                return RequestBody(bytes(received))
+            received += piece
+        prefix = bytes(received)
         return RequestBody(None, self._stream_pieces(prefix), None, prefix)
 
     async def _stream_pieces(self, prefix: bytes) -> AsyncIterator[bytes]:
--- a/src/radishmux/http/server.py
+++ b/src/radishmux/http/server.py
@@ -23,6 +23,7 @@
 
 from radishmux.http import headers as names
 from radishmux.http._remote_end import DEPARTURE_CHECK_S
+from radishmux.http.buffer_monitor import CHECK_PERIOD_S, BufferMonitor
 from radishmux.http.departure_monitor import DepartureMonitor
 from radishmux.http.refusals import TicketRefusal, encode, may_have_run, not_run
 from radishmux.tasks import repeat
@@ -127,6 +128,7 @@
         configure_logging=False,
         error_handler=RefusingErrorHandler(metrics),
     )
+    app.ctx.metrics = metrics
     app.config.ACCESS_LOG = False
     # "Touch up" removes unused signals from classes of sanic. One run takes
     # effect for all applications of the process, and a second run fails.
@@ -195,10 +197,22 @@
 
 
 class SanicServer:
-    """Serves an application while it is entered as a context manager."""
+    """Serves an application while it is entered as a context manager.
 
-    def __init__(self, app: Sanic, address: str) -> None:
+    Args:
+        app: The application.
+        address: `ip:port` to listen on.
+        buffer_monitor: Limits the connections and what they hold.
+    """
+
+    def __init__(
+        self,
+        app: Sanic,
+        address: str,
+        buffer_monitor: BufferMonitor | None = None,
+    ) -> None:
         self._app = app
+        self._buffer_monitor = buffer_monitor or BufferMonitor()
         self._listen_address = address
         self._server: AsyncioServer | None = None
         self._address = ""
@@ -232,6 +246,9 @@
             asyncio.create_task(
                 repeat(self._check_departures, DEPARTURE_CHECK_S, "departures")
             ),
+            asyncio.create_task(
+                repeat(self._check_buffers, CHECK_PERIOD_S, "buffers")
+            ),
         )
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
@@ -257,6 +274,17 @@
         assert self._server is not None
         self._departure_monitor.check(self._server.connections)
 
+    async def _check_buffers(self) -> None:
+        assert self._server is not None
+        excess = self._buffer_monitor.excess(self._server.connections)
+        for reason, connection in excess:
+            self._app.ctx.metrics.count("invalid_requests_total", reason=reason)
+            connection.abort()
+        if excess:
+            logger.warning(
+                "{} connections closed: {}", len(excess), excess[-1][0]
+            )
+
     def stop_listening(self) -> None:
         """Accepts no new connections; open connections stay open."""
         if self._server is not None and self._server.server is not None:
