--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -59,6 +59,8 @@
             },
             "store": {"address": store, "min_lease_s": None},
             "bounds": {"grace_s": 4.0, "quota_slack": 20},
+            # As in the template of the deployment.
+            "admission": {"max_waiting": 64},
         } | settings
         self.process = None
 
