Describe the sharing of server loads

Each instance of a large fleet saw a server's load every few seconds only. The share of slots that was tried beside it is not part of the product: it would be a second queue before that of admission.

--- a/src/radishmux/settings/gateway.py
+++ b/src/radishmux/settings/gateway.py
@@ -181,8 +181,7 @@
             durations of the route show that they save time; otherwise after a
             multiple of the expected duration.
         share_server_loads: Whether instances tell each other the loads of
-            backend servers and keep to a share of each server's slots and
-            queue. Null: only in fleets of more than `full_mesh_max`
+            backend servers. Null: only in fleets of more than `full_mesh_max`
             instances.
         logs: Log output.
     """
