--- a/src/radishmux/duties/holder.py
+++ b/src/radishmux/duties/holder.py
@@ -219,7 +219,7 @@
         if self._is_leaving:
             return
         self._lease_id = lease_id
-        self._set_valid(sent_at)
+        self._set_valid(sent_at, self._ttl_s)
         self._state = State.CREATING
 
     def on_grant_failed(self, now: Reading) -> None:
@@ -278,10 +278,15 @@
         """Takes the failure to read the record back."""
         self._retry_at = now.plus(RETRY_S)
 
-    def on_renewed(self, sent_at: Reading) -> None:
-        """Takes a renewal; it counts from when the call was sent."""
+    def on_renewed(self, sent_at: Reading, remaining_s: float) -> None:
+        """Takes a renewal; it counts from when the call was sent.
+
+        Args:
+            sent_at: When the call was sent.
+            remaining_s: What the store says of the lease's duration.
+        """
         if self._state is State.HOLDING:
-            self._set_valid(sent_at)
+            self._set_valid(sent_at, min(self._ttl_s, remaining_s))
 
     def on_renewal_failed(self, now: Reading) -> None:
         """Takes a renewal without a response."""
@@ -325,9 +330,9 @@
         since = self._unheard_since
         return since is not None and now.is_after(since.plus(seconds))
 
-    def _set_valid(self, sent_at: Reading) -> None:
-        self._valid_until = sent_at.plus(self._ttl_s - self._slack_s)
-        self._renew_at = sent_at.plus(self._ttl_s / RENEWALS_PER_LEASE)
+    def _set_valid(self, sent_at: Reading, ttl_s: float) -> None:
+        self._valid_until = sent_at.plus(ttl_s - self._slack_s)
+        self._renew_at = sent_at.plus(ttl_s / RENEWALS_PER_LEASE)
 
     def _lose(self, reason: str, now: Reading) -> None:
         if self._state is State.HOLDING:
--- a/src/radishmux/gateway/duty_tenure.py
+++ b/src/radishmux/gateway/duty_tenure.py
@@ -183,7 +183,7 @@
         elif remaining_s <= 0:
             self._holder.on_lapsed(self._clock.read())
         else:
-            self._holder.on_renewed(now)
+            self._holder.on_renewed(now, remaining_s)
 
     async def _release(self, now: Reading) -> None:
         """Deletes the own record, unless another one has replaced it.
--- a/tests/duties/test_decisions.py
+++ b/tests/duties/test_decisions.py
@@ -79,6 +79,14 @@
     assert holder.next_step(AT.plus(2 * TTL_S), 1) is Step.GRANT
 
 
+def test_renewed_lease_is_as_long_as_the_store_says():
+    """Guards against a store that grants less than it was asked for."""
+    holder, _ = holder_at_work()
+    holder.on_renewed(AT.plus(1), 1.5)
+    assert holder.may_act(AT.plus(2.1), 1)
+    assert not holder.may_act(AT.plus(2.3), 1)
+
+
 def test_candidate_waits_after_a_restoration():
     """Guards against a next holder while the last one has not noticed."""
     holder = DutyHolder("a", 1, TTL_S, SLACK_S, TTL_S, AT)
--- a/tests/gateway/test_usage_report.py
+++ b/tests/gateway/test_usage_report.py
@@ -60,6 +60,30 @@
         assert answer[0] == 200
 
 
+async def send_refused(fleet, gateways):
+    """Sends requests that no server runs.
+
+    Returns:
+        The number of requests that were served after that.
+    """
+    for server in fleet.servers.values():
+        await server.control(rest_s=0.3)
+    for gateway in gateways:
+        assert (await send_request(gateway))[0] != 200
+    for server in fleet.servers.values():
+        await server.control(rest_s=None)
+    served = 0
+
+    async def is_served():
+        nonlocal served
+        answer = await send_request(gateways[0])
+        served += answer[0] == 200
+        return served > 0
+
+    await eventually(is_served, REPORTED_S)
+    return served
+
+
 async def check_reported(fleet, api, sent):
     """Waits until all requests that servers have run are reported."""
 
@@ -83,7 +107,9 @@
         gateways = await asyncio.gather(
             *(fleet.add(f"g{n}", **settings(api)) for n in range(4))
         )
-        await send_some(gateways, 12)
+        await send_some(gateways, 11)
+        # Counts of requests that were sent and refused are taken back.
+        assert await send_refused(fleet, gateways) == 1
         await check_reported(fleet, api, 12)
         holder = holder_of(gateways)
         assert holder is not None
