Keep the receive buffers of connections that are not read

Uploads hung until their deadline: test_uploads_do_not_add_up_in_memory got 503, and a script with 80 uploads of 4 MiB over one connection stopped after 5 and 13 of them in 2 of 3 runs. Shrinking the buffer of an open connection below the window that was offered makes the kernel drop bytes on their way.

--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -64,9 +64,10 @@
 # A caller reads slowly if it leaves this much of its responses for this long.
 _LARGE_UNSENT_BYTES = 16 * 1024
 _SLOW_READ_S = 0.5
-# Receive buffer in the kernel of connections that are not read, and of all new
-# ones while many are open.
-_SMALL_RECEIVE_BYTES = 16 * 1024
+# Receive buffer in the kernel of new connections while many are open. It is as
+# large as the first window that the kernel offers: with a smaller one, bytes on
+# their way are dropped, and uploads over links with large packets stall.
+_SMALL_RECEIVE_BYTES = 64 * 1024
 
 
 class _PendingResponse:
@@ -830,7 +831,6 @@
             return
         self._reading_paused = True
         self._transport.pause_reading()
-        self._bound_receive_buffer()
         self._server.on_reading_paused(self)
 
     def _resume_reading(self) -> None:
