--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,10 @@
 	$(BIN)/ruff format src standins bench soak tests scripts
 	$(BIN)/ruff check --fix src standins bench soak tests scripts
 
+# Crowds of clients run one at a time and apart from other tests.
 test: lint
-	$(BIN)/python -m pytest -n 6 --dist loadfile
+	$(BIN)/python -m pytest -n 6 --dist loadfile -m "not crowd"
+	$(BIN)/python -m pytest -m crowd
 
 bench: install
 	PYTHONPATH=src:. $(BIN)/python -m bench
--- a/tests/gateway/test_misbehaving_callers.py
+++ b/tests/gateway/test_misbehaving_callers.py
@@ -1,8 +1,8 @@
 """Crowds of misbehaving clients at each listener of a gateway process.
 
 The process must stay within the memory and the descriptors of its machine
-(`memory_mb` and `max_fds` of the settings, lowered here). All cases are in one
-file, so that `--dist loadfile` runs one at a time.
+(`memory_mb` and `max_fds` of the settings, lowered here). The cases run one at
+a time and apart from other load.
 """
 
 from __future__ import annotations
@@ -17,6 +17,8 @@
 from tests.gateway.crowd import Crowd, status_kib
 from tests.gateway.fleet import HOST, config, run_fleet, send_request
 
+pytestmark = pytest.mark.crowd
+
 MIB = 1024 * 1024
 # Memory of the machine, lowered so that small crowds exceed it.
 MEMORY_MB = 96
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -14,6 +14,8 @@
 from tests.request_node import headers
 from tests.request_parts import backend_process
 
+pytestmark = pytest.mark.crowd
+
 MEMORY_MB = 200
 MAX_FDS = 400
 RESERVED_FDS = 200
@@ -31,6 +33,11 @@
     ),
     "fields": (HEAD + FIELDS[: 15 * 1024], 600),
     "pipelined": (b"GET /poles/a HTTP/1.1\r\nHost: a\r\n\r\n" * 40, 300),
+    "many-chunks": (CHUNKED + b"2\r\nab\r\n" * 32_000, 300),
+    "many-pipelined": (
+        b"GET /poles/a HTTP/1.1\r\nHost: a\r\n\r\n" * 9_000,
+        300,
+    ),
 }
 
 
