Count all copies of a head toward the memory of a request

A crowd of 600 connections with requests of 15 KB took 107,128 KiB of 98,304 in one run (test_crowd_does_not_outgrow_the_memory[query-fields-caller]) and passed in two others: five copies of a head exist at once, two were counted.

--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -49,9 +49,9 @@
 # fields and its body.
 _CONNECTION_BYTES = 6 * 1024
 _REQUEST_BYTES = 8 * 1024
-# Copies of a head while a request is in progress: its decoded target, and the
-# head that is sent to a server.
-_HEAD_COPIES = 2
+# Copies of a head while a request is in progress: as received, decoded, and the
+# request line, text and bytes of the head that is sent to a server.
+_HEAD_COPIES = 5
 # Bytes parsed at a time, so that few requests are read beyond those that may
 # wait. A body of known length is parsed at once.
 _HEAD_SLICE_BYTES = 4 * 1024
