--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -195,7 +195,7 @@
         )
 
     def _is_open_to(self, state: RequestState, server: Server) -> bool:
-        """Whether nothing that befell a request keeps it from a server."""
+        """Whether neither earlier attempts nor denials exclude a server."""
         denied = state.unavailable_servers
         if server.name in state.tried_servers or server.name in denied:
             return False
