Limit the connections of radishmuxd when they are accepted

Connections that sent thousands of requests ahead held up all others, because sanic does not yield between requests whose headers are in its buffer.

The limit is kept when a connection is accepted, and shared by the listeners. Requests sent ahead take turns with other connections. Callers that do not read their responses no longer keep a connection from being closed.

--- a/src/radishmux/app.py
+++ b/src/radishmux/app.py
@@ -23,6 +23,7 @@
 from radishmux.dispatch.versions import AttemptVersions
 from radishmux.http.admin_app import AdminApp
 from radishmux.http.caller_app import CallerApp
+from radishmux.http.connection_limit import ConnectionLimit
 from radishmux.http.forwarder import PeerForwarder
 from radishmux.http.metered_forwarder import MeteredForwarder
 from radishmux.http.peer_app import PeerApp
@@ -375,9 +376,12 @@
             )
         )
         listen = self._settings.listen
+        connection_limit = ConnectionLimit()
         for application, address in (
             (self._peer_app.app, listen.peer),
             (admin_app.app, listen.admin),
             (self._caller_app.app, listen.caller),
         ):
-            await stack.enter_async_context(SanicServer(application, address))
+            await stack.enter_async_context(
+                SanicServer(application, address, connection_limit)
+            )
--- a/src/radishmux/http/server.py
+++ b/src/radishmux/http/server.py
@@ -24,7 +24,9 @@
 from radishmux.http import headers as names
 from radishmux.http._remote_end import DEPARTURE_CHECK_S
 from radishmux.http.buffer_monitor import CHECK_PERIOD_S, BufferMonitor
+from radishmux.http.connection_limit import ConnectionLimit
 from radishmux.http.departure_monitor import DepartureMonitor
+from radishmux.http.limited_protocol import LimitedProtocol
 from radishmux.http.refusals import TicketRefusal, encode, may_have_run, not_run
 from radishmux.tasks import repeat
 from radishmux.telemetry.metrics import Metrics
@@ -41,6 +43,7 @@
 KEEP_ALIVE_S = 75.0
 # Releases lost connections only. The request flow enforces deadlines.
 RESPONSE_TIMEOUT_S = 3700.0
+_LOG_PERIOD_S = 1.0
 
 _app_numbers = itertools.count()
 
@@ -202,16 +205,21 @@
     Args:
         app: The application.
         address: `ip:port` to listen on.
-        buffer_monitor: Limits the connections and what they hold.
+        connection_limit: Limits the connections of all servers that share it.
+        buffer_monitor: Limits what the connections hold.
     """
 
     def __init__(
         self,
         app: Sanic,
         address: str,
+        connection_limit: ConnectionLimit | None = None,
         buffer_monitor: BufferMonitor | None = None,
     ) -> None:
         self._app = app
+        self._connection_limit = connection_limit or ConnectionLimit()
+        app.ctx.connection_limit = self._connection_limit
+        app.ctx.connections_closed = 0
         self._buffer_monitor = buffer_monitor or BufferMonitor()
         self._listen_address = address
         self._server: AsyncioServer | None = None
@@ -236,7 +244,8 @@
             sock=listener,
             return_asyncio_server=True,
             access_log=False,
-            backlog=1024,
+            backlog=self._connection_limit.backlog,
+            protocol=LimitedProtocol,
         )
         await server.startup()
         await server.start_serving()
@@ -249,6 +258,9 @@
             asyncio.create_task(
                 repeat(self._check_buffers, CHECK_PERIOD_S, "buffers")
             ),
+            asyncio.create_task(
+                repeat(self._log_closed, _LOG_PERIOD_S, "closed connections")
+            ),
         )
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
@@ -277,13 +289,19 @@
     async def _check_buffers(self) -> None:
         assert self._server is not None
         excess = self._buffer_monitor.excess(self._server.connections)
-        for reason, connection in excess:
-            self._app.ctx.metrics.count("invalid_requests_total", reason=reason)
-            connection.abort()
-        if excess:
-            logger.warning(
-                "{} connections closed: {}", len(excess), excess[-1][0]
+        for connection in excess:
+            self._app.ctx.metrics.count(
+                "invalid_requests_total", reason="memory_full"
             )
+            connection.close_at_once()
+        if excess:
+            logger.warning("{} connections closed: memory_full", len(excess))
+
+    async def _log_closed(self) -> None:
+        count = self._app.ctx.connections_closed
+        if count:
+            self._app.ctx.connections_closed = 0
+            logger.warning("{} connections closed: connections_full", count)
 
     def stop_listening(self) -> None:
         """Accepts no new connections; open connections stay open."""
--- a/tests/request_node.py
+++ b/tests/request_node.py
@@ -13,6 +13,7 @@
 from radishmux.dispatch.versions import AttemptVersions
 from radishmux.http.admin_app import AdminApp
 from radishmux.http.caller_app import CallerApp
+from radishmux.http.connection_limit import ConnectionLimit
 from radishmux.http.forwarder import PeerForwarder
 from radishmux.http.peer_app import PeerApp
 from radishmux.http.request_flow import RequestFlow
@@ -135,8 +136,9 @@
         self.admin_app = AdminApp(
             metrics, parts.tracer, lambda: True, lambda trace_id: None
         )
-        self.caller = SanicServer(self.caller_app.app, "127.0.0.1:0")
-        self.peer = SanicServer(self.peer_app.app, "127.0.0.1:0")
+        limit = ConnectionLimit()
+        self.caller = SanicServer(self.caller_app.app, "127.0.0.1:0", limit)
+        self.peer = SanicServer(self.peer_app.app, "127.0.0.1:0", limit)
 
     async def _broadcast(self, message) -> None:
         for name in list(self.fleet.nodes):
