Let requests wait for their tokens after a restart of all instances

Instances that stood in for token holders which were not running yet had parts of 0.007 to 0.11 of a rate, refused from them, and prolonged their holding with each request, also when the designated holder had 42 tokens.

While the instances do not know each other yet, a request waits for its token for up to half of its time-out. An instance that stands in asks the designated holder again before it uses its own part.

--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -352,6 +352,7 @@
             bus,
             self._reports.on_connection_refused,
             self._clock,
+            lambda: gossip_state.is_settled,
         )
         self._permits = SendPermits(
             self._record,
--- a/src/radishmux/gateway/rate_limiter.py
+++ b/src/radishmux/gateway/rate_limiter.py
@@ -31,6 +31,9 @@
 # and dropped after twice that time.
 PREFETCH_S = 0.2
 MAX_PREFETCHED_TOKENS = 8
+# While the instances of a region do not know each other yet, requests ask again
+# this often: the holder may change at any time.
+SETTLING_POLL_S = 0.1
 # Maximum number of instances tried for one request when holders do not
 # answer.
 MAX_HOLDERS_TRIED = 3
@@ -124,6 +127,8 @@
         on_connection_refused: Called with the name of a peer that refuses
             connections, which means that its process has ended.
         clock: Monotonic time.
+        is_settled: Whether this instance knows the others. It does not yet
+            after a restart of all instances.
     """
 
     def __init__(
@@ -134,6 +139,7 @@
         bus: PeerBus,
         on_connection_refused: Callable[[str], None],
         clock: Clock,
+        is_settled: Callable[[], bool],
     ) -> None:
         self._rates = rates
         self._holders = holders
@@ -141,19 +147,27 @@
         self._bus = bus
         self._on_connection_refused = on_connection_refused
         self._clock = clock
+        self._is_settled = is_settled
         self._states: dict[str, _CustomerState] = {}
         # Monotonic time until which each peer is not sent token requests.
         self._unresponsive_until: dict[str, float] = {}
         bus.handle(messages.TokenRequest)(self._on_request)
 
     async def acquire(
-        self, customer: CustomerPolicy, longest_s: float
+        self,
+        customer: CustomerPolicy,
+        longest_s: float,
+        settling_s: float = 0.0,
     ) -> Grant | None:
         """Acquires one token, waiting for it if it accrues soon enough.
 
         Args:
             customer: The customer that sends the request.
             longest_s: Maximum time in seconds to wait for a token to accrue.
+            settling_s: The same while the holders are being determined after
+                a restart of all instances. Those that stand in for them have
+                a small part of the rate, so that a refusal would not mean
+                that the customer exceeds its rate.
 
         Returns:
             None if the request is admitted. Otherwise the holder's answer,
@@ -169,7 +183,7 @@
         state.arrived += 1
         if state.try_acquire(now):
             return None
-        end = now + longest_s
+        started_at = now
         state.waiting += 1
         try:
             while True:
@@ -177,9 +191,12 @@
                 now = self._clock.now()
                 if state.try_acquire(now):
                     return None
-                if now + grant.wait_s > end:
+                wait_s, end = grant.wait_s, started_at + longest_s
+                if not self._is_settled() and settling_s > longest_s:
+                    wait_s, end = SETTLING_POLL_S, started_at + settling_s
+                if now + wait_s > end:
                     return grant
-                await asyncio.sleep(grant.wait_s)
+                await asyncio.sleep(wait_s)
         finally:
             state.waiting -= 1
 
@@ -220,18 +237,23 @@
         """Takes tokens from the holder, at this instance or at a peer.
 
         If the candidates ranked before this instance do not answer, this
-        instance becomes a holder too.
+        instance becomes a holder too. It asks them again before it uses its
+        own part, which is small: without that, it extended its holding with
+        each request and refused what the designated holder had tokens for.
 
         Returns:
             The holder's answer, or None if no candidate answered.
         """
-        if self._rates.is_held(customer):
+        is_forwarded = timeout_s == FORWARDED_TIMEOUT_S
+        if self._rates.is_held(customer) and (
+            is_forwarded or self._is_designated(customer)
+        ):
             return self._grant_locally(customer, arrived, wanted)
         message = messages.TokenRequest(
             customer=customer,
             tokens=wanted,
             arrived=arrived,
-            is_forwarded=timeout_s == FORWARDED_TIMEOUT_S,
+            is_forwarded=is_forwarded,
         )
         tried = 0
         for holder in self._candidates(customer):
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -57,6 +57,9 @@
 CONFIGURATION_RETRY_S = 1.0
 # Longest wait for a token of the customer's rate limit.
 MAX_TOKEN_WAIT_S = 0.25
+# Longest wait for a token after a restart of all instances, as a fraction of
+# the request's time-out. The rest is enough for a request that runs cold.
+MAX_SETTLING_FRACTION = 0.5
 # Callers honour a Retry-After of up to a third of their remaining time.
 MAX_RETRY_AFTER_FRACTION = 0.3
 MIN_RETRY_AFTER_S = 0.05
@@ -172,21 +175,25 @@
             if refusal is not None:
                 return refusal
         now = self._clock.now()
-        timeout_s = route.timeout_s
-        if call.remaining_s is not None:
-            timeout_s = min(timeout_s, call.remaining_s - ANSWER_MARGIN_S)
         state = RequestState(
             call,
             route,
             customer,
             self._split.choose(route),
-            call.received_at + timeout_s,
+            call.received_at + self._timeout_s(call, route),
         )
         self._retry_budgets.record_first_attempt(state.service, now)
         if self._waiting is not None:
             self._waiting.record_arrival(state, now)
         return state
 
+    @staticmethod
+    def _timeout_s(call: Call, route: HostRoute) -> float:
+        """Returns the time from the arrival of a request to its time-out."""
+        if call.remaining_s is None:
+            return route.timeout_s
+        return min(route.timeout_s, call.remaining_s - ANSWER_MARGIN_S)
+
     async def _wait_for_routes(self) -> HostRoutes | None:
         """Waits for the first configuration.
 
@@ -215,8 +222,12 @@
         self, call: Call, route: HostRoute, customer: CustomerPolicy
     ) -> Response | None:
         """Takes a token of the customer's rate limit, or returns a refusal."""
-        max_wait_s = min(MAX_TOKEN_WAIT_S, route.target_latency_s / 3)
-        denied = await self._rate_limiter.acquire(customer, max_wait_s)
+        timeout_s = self._timeout_s(call, route)
+        denied = await self._rate_limiter.acquire(
+            customer,
+            min(MAX_TOKEN_WAIT_S, route.target_latency_s / 3),
+            MAX_SETTLING_FRACTION * timeout_s,
+        )
         if denied is None:
             return None
         detail = (
--- a/tests/gateway/test_rate_limiter.py
+++ b/tests/gateway/test_rate_limiter.py
@@ -108,6 +108,7 @@
                 self.network.bus(name),
                 lambda name: None,
                 self.clock,
+                lambda: True,
             )
         self.order = holders.order(TERMS.name)
         self.rates[self.holder].take_over(
@@ -171,6 +172,21 @@
     assert UNRESPONSIVE_S > 0.0
 
 
+# Guards against an instance that refuses requests from its own small part while
+# the holder that answers again has tokens.
+@in_virtual_time
+async def test_stand_in_asks_the_holder_that_answers_again(loop):
+    region = Region(4, loop)
+    first, second = region.order[:2]
+    region.network.dead.add(first)
+    await region.nodes[second].acquire(TERMS, 0.1)
+    assert region.rates[second].is_held(TERMS.name)
+    region.network.dead.clear()
+    await asyncio.sleep(UNRESPONSIVE_S)
+    region.rates[second].set_entitled(False, loop.now())
+    assert await region.nodes[second].acquire(TERMS, 0.0) is None
+
+
 @in_virtual_time
 async def test_concurrent_requests_share_token_requests(loop):
     region = Region(4, loop)
--- a/tests/gateway/test_request_flow.py
+++ b/tests/gateway/test_request_flow.py
@@ -90,7 +90,7 @@
     def __init__(self, admits=True):
         self.admits = admits
 
-    async def acquire(self, customer, max_wait_s):
+    async def acquire(self, customer, max_wait_s, settling_s):
         return None if self.admits else Grant("i1", 0, 0.5, 0.25)
 
 
--- a/tests/gateway/test_waits_of_departed_callers.py
+++ b/tests/gateway/test_waits_of_departed_callers.py
@@ -93,7 +93,7 @@
     def __init__(self):
         self.wait_s = 0.0
 
-    async def acquire(self, customer, max_wait_s):
+    async def acquire(self, customer, max_wait_s, settling_s):
         await asyncio.sleep(self.wait_s)
 
 
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -38,6 +38,8 @@
 LOOKUP_TTL_S = 1.0
 # Callers that reach no instance of their region retry for this long.
 CALLER_DEADLINE_S = 2.0
+# Time that a request may wait for a token after a restart of all instances.
+SETTLING_WAIT_S = 1.0
 
 
 class _Rollouts:
@@ -119,6 +121,7 @@
             self.bus,
             self.reports.on_connection_refused,
             self.clock,
+            lambda: gossip_state.is_settled,
         )
         self.permits = SendPermits(
             record,
@@ -300,7 +303,9 @@
         return found
 
     async def _request(self, node, is_first):
-        grant = await node.rate_limiter.acquire(self.terms, 0.13)
+        grant = await node.rate_limiter.acquire(
+            self.terms, 0.13, SETTLING_WAIT_S
+        )
         now = self.loop.time()
         if grant is None:
             self.admitted.append(now)
