Free rejected and cancelled requests without the garbage collector

A crowd with many query fields took a gateway to 62,716 to 97,456 KiB, where 98,304 are allowed. Each request rejected while it was parsed left a reference cycle: a local variable of `_parse_slice` held the cause of the parser's error, whose traceback holds that frame and, by its callers, all that had been read, 86,608 bytes. About 390 rejections made up 37 MB of the peak. The daemon collects cycles once in 20,000 objects, and the memory limit does not count them.

Three smaller cycles are ended as well: a closed connection and its parser kept the last target, a cancelled task or a request that was not started kept the request, and a connection to a server kept its last request by the function that checks the response, also while it was idle. A rejected or answered request's target no longer counts against the limit.

--- a/src/radishmux/dispatch/server_connection.py
+++ b/src/radishmux/dispatch/server_connection.py
@@ -258,6 +258,10 @@
             self._waiter = None
             self.close()
             raise
+        finally:
+            # The check refers to the request and its body, and the connection
+            # may stay idle for long.
+            self._accepts = accept_all
 
     def close(self) -> None:
         """Closes the connection immediately, discarding unsent bytes.
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -78,7 +78,8 @@
         body_bytes: Size of the body of the request.
         held_bytes: Memory of the request.
         is_head: Whether the response is sent without its body.
-        request: The request, or None once its handler has been started.
+        request: The request, or None once its handler has been started or
+            cancelled.
         response: The response, or None while the request is processed.
         task: Runs the handler, or None once it has ended.
     """
@@ -179,7 +180,7 @@
         """Cancels all requests of a caller that has disconnected."""
         self._closing = True
         self._cancel_timer()
-        self._discard_body()
+        self._discard_unfinished()
         self._cancel_pending(self._end_reason)
         self._transport = self._remote_end = None
         self._server.remove_connection(self)
@@ -243,11 +244,14 @@
             if self._pending:
                 self._pending[-1].closes = True
         except httptools.HttpParserError as error:
-            cause = error.__context__ or error.__cause__
-            if isinstance(cause, _RefusedError):
-                self._end_with(cause.response)
+            # The cause must not become a local variable: its traceback holds
+            # this frame. The cycle would keep the received bytes until the
+            # next garbage collection, up to 256 KB for each rejected request.
+            rejection = _rejection(error)
+            if isinstance(rejection, Response):
+                self._end_with(rejection)
             else:
-                self._reject(_rejection_reason(error))
+                self._reject(rejection)
         if self._in_request and not self._closing:
             limit = self._server.limits.max_header_bytes
             received = (
@@ -444,6 +448,7 @@
         else:
             pending.response, self._refusal = self._refusal, None
             self._loop.call_soon(self._flush_if_open)
+        self._target = b""
         self._headers = []
         if len(self._pending) >= self._max_pipelined:
             self._pause_reading()
@@ -471,9 +476,7 @@
             self._run_handler(pending, request)
         )
         # A callback also runs if the task is cancelled before it starts.
-        pending.task.add_done_callback(
-            lambda _: self._release(pending.held_bytes, pending.body_bytes)
-        )
+        pending.task.add_done_callback(lambda _: self._release(pending))
 
     def _flush_if_open(self) -> None:
         if self._transport is not None and not self._writing_paused:
@@ -525,10 +528,13 @@
         else:
             self._settle()
 
-    def _release(self, size: int, body_bytes: int) -> None:
+    def _release(self, pending: _PendingResponse) -> None:
+        # A cancelled task holds its last frames, and a request that was not
+        # started refers to `pending`. These cycles would keep the request.
+        pending.task = pending.request = None
         self._server.connection_limit.requests -= 1
-        self._held_bytes -= size
-        self._held_body_bytes -= body_bytes
+        self._held_bytes -= pending.held_bytes
+        self._held_body_bytes -= pending.body_bytes
         self._settle()
 
     @property
@@ -605,7 +611,7 @@
         while self._pending and self._pending[0].response is not None:
             ready.append(self._pending.popleft())
         self._cancel_pending(CALLER_LEFT)
-        self._discard_body()
+        self._discard_unfinished()
         self._in_request = self._in_body = False
         self._closing = True
         self._unparsed = bytearray()
@@ -703,7 +709,7 @@
         All requests before it may be at a server already. A caller sends later
         ones again, since it gets no response to them.
         """
-        self._discard_body()
+        self._discard_unfinished()
         self._in_request = self._in_body = False
         if not self._writing_paused:
             # Otherwise it is the timeout of the responses.
@@ -747,7 +753,7 @@
 
     def _end_with(self, response: Response) -> None:
         """Queues a response after the pending ones, then closes."""
-        self._discard_body()
+        self._discard_unfinished()
         self._in_request = self._in_body = False
         pending = _PendingResponse(True, False)
         pending.response = response
@@ -814,7 +820,9 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _discard_body(self) -> None:
+    def _discard_unfinished(self) -> None:
+        """Drops the request that is being received."""
+        self._target = b""
         self._body = bytearray()
         self._headers = []
         self._fields_bytes = 0
@@ -873,8 +881,11 @@
         self.response = response
 
 
-def _rejection_reason(error: Exception) -> str:
+def _rejection(error: Exception) -> Response | str:
+    """Returns the response to a request, or why it is rejected."""
     cause = error.__context__ or error.__cause__
+    if isinstance(cause, _RefusedError):
+        return cause.response
     if isinstance(cause, _RejectedError):
         return cause.reason
     return "malformed_request"
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -11,6 +11,7 @@
 import contextlib
 import socket
 import struct
+import weakref
 
 import pytest
 
@@ -122,6 +123,29 @@
             pool.close()
 
 
+async def test_idle_connection_does_not_hold_its_last_request():
+    """Guards against bodies that are kept as long as a connection is idle.
+
+    The function that checks the response refers to the whole request.
+    """
+
+    class Check:
+        def __call__(self, headers):
+            return True
+
+    async with ScriptedServer([encode_response(b"a")]) as server:
+        clock = SystemClock()
+        pool = ServerConnectionPool(server.address, clock)
+        check = Check()
+        alive = weakref.ref(check)
+        outcome = await pool.send(REQUEST, clock.now() + 2.0, accepts=check)
+        del check
+        assert isinstance(outcome, ServerResponse)
+        assert pool.has_idle
+        assert alive() is None
+        pool.close()
+
+
 async def test_unframed_response_ends_with_its_connection():
     head = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n"
     async with ScriptedServer([head, b"all of it", "close"]) as server:
