Let bodies pause as long as the operators' limits allow

A caller that paused after the head of its upload for longer than the time-out of headers got 408, and one that paused for 10 s later on. Both are within the limits of the configuration.

The timer of a body is IdleTimeoutS from the end of its head on. The new test fails before the change.

--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -34,8 +34,6 @@
 LINGER_S = 1.0
 # A check whether the caller has left is not repeated within this time.
 CHECK_VALID_S = 0.02
-# Longest pause between two reads of a request body.
-BODY_IDLE_S = 10.0
 # Size of a connection's write buffer above which it sends no further responses
 # and reads no further requests: half the size of the largest responses.
 WRITE_BUFFER_BYTES = 256 * 1024
@@ -228,8 +226,6 @@
             self._set_timer(
                 self._server.limits.header_timeout_s, self._on_slow_request
             )
-        elif self._in_body:
-            self._set_timer(BODY_IDLE_S, self._on_slow_request)
         self._progress.add(len(data), now)
         if not self._in_body:
             self._head_bytes += len(data)
@@ -253,6 +249,12 @@
             else:
                 self._reject(rejection)
         if self._in_request and not self._closing:
+            if self._in_body:
+                # Bodies may pause as long as idle connections, also right
+                # after their heads.
+                self._set_timer(
+                    self._server.limits.idle_timeout_s, self._on_slow_request
+                )
             limit = self._server.limits.max_header_bytes
             received = (
                 self._framing_bytes if self._in_body else self._head_bytes
@@ -292,7 +294,9 @@
             return
         self._cancel_timer()
         if self._in_request:
-            self._set_timer(BODY_IDLE_S, self._on_slow_request)
+            self._set_timer(
+                self._server.limits.idle_timeout_s, self._on_slow_request
+            )
         self._flush()
 
     def eof_received(self) -> bool:
--- a/tests/gateway/test_pipelined.py
+++ b/tests/gateway/test_pipelined.py
@@ -499,3 +499,25 @@
         assert server.unsent_bytes == 0
         with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
             await caller.read_response()
+
+
+# Guards against a bound on pauses that does not follow the operators' limits:
+# it was the time-out of headers for the first pause, and 10 s for others.
+@pytest.mark.parametrize("first", [b"", b"a"], ids=["head", "part"])
+async def test_body_may_pause_as_long_as_an_idle_connection(first):
+    limits = CallerLimits(header_timeout_s=0.1, idle_timeout_s=1.0)
+    async with serve(limits=limits) as server:
+        async with Caller(server) as caller:
+            caller.writer.write(
+                b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+                + first
+            )
+            await asyncio.sleep(0.3)
+            caller.writer.write(b"ab"[len(first) :])
+            assert (await caller.read_response())[0] == 200
+        async with Caller(server) as caller:
+            caller.writer.write(
+                b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+                + first
+            )
+            assert (await caller.read_response())[0] == 408
