Reduce the processor time per request of the gateway

Decisions are unchanged: sums of the duration histogram are kept between records, parts of sliding counts are looked at when one may expire, estimates of a server are built only if it may be chosen, and sizes of connections are derived from what is counted anyway. Durations are not recorded where nothing uses them. Waiting for attempts and request digests, which are older, take less time too.

--- a/src/radishmux/dispatch/request_digest.py
+++ b/src/radishmux/dispatch/request_digest.py
@@ -30,9 +30,8 @@
     Returns:
         32 hexadecimal digits.
     """
-    digest = xxhash.xxh3_128()
-    for text in (customer, service, method, target, str(body_length)):
-        digest.update(text.encode("utf-8", "surrogateescape"))
-        digest.update(b"\0")
-    digest.update(body)
+    head = f"{customer}\0{service}\0{method}\0{target}\0{body_length}\0"
+    digest = xxhash.xxh3_128(head.encode("utf-8", "surrogateescape"))
+    if body:
+        digest.update(body)
     return digest.hexdigest()
--- a/src/radishmux/gateway/app.py
+++ b/src/radishmux/gateway/app.py
@@ -385,6 +385,7 @@
             self._metrics,
             self._loads,
             self._usage_duty.counter if self._usage_duty else None,
+            settings.hedge_by_durations,
         )
         stack.push_async_callback(self._sender.close)
         decision_log = DecisionLog(
--- a/src/radishmux/gateway/attempt_group.py
+++ b/src/radishmux/gateway/attempt_group.py
@@ -28,6 +28,41 @@
         self.next_attempt_at = next_attempt_at
         self.hedge_plan: HedgePlan | None = None
 
+    async def wait(
+        self, timeout_s: float
+    ) -> set[asyncio.Task[ServerResponse | NoResponse]]:
+        """Waits until an attempt ends, and removes those that have ended.
+
+        Does the same as `asyncio.wait`, which takes almost twice the time for
+        one task.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            The attempts that have ended; none after the time-out.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+
+        def wake(_: object = None) -> None:
+            if not waiter.done():
+                waiter.set_result(None)
+
+        timer = loop.call_later(timeout_s, wake)
+        tasks = tuple(self.tasks)
+        for task in tasks:
+            task.add_done_callback(wake)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            for task in tasks:
+                task.remove_done_callback(wake)
+        ended = {task for task in tasks if task.done()}
+        self.tasks -= ended
+        return ended
+
     def __enter__(self) -> AttemptGroup:
         return self
 
--- a/src/radishmux/gateway/request_flow.py
+++ b/src/radishmux/gateway/request_flow.py
@@ -318,12 +318,14 @@
         now: float,
     ) -> None:
         """Sets when an attempt beside the one that starts now is due."""
-        group.hedge_plan = None
-        group.next_attempt_at = now + usual_delay_s(choice.expected_cold_s)
-        if group.tasks:
-            return
-        plan = group.hedge_plan = self._chooser.plan_hedge(state, choice, now)
-        if plan is not None:
+        plan = None
+        if not group.tasks:
+            plan = self._chooser.plan_hedge(state, choice, now)
+        group.hedge_plan = plan
+        if plan is None:
+            delay_s = usual_delay_s(choice.expected_cold_s)
+            group.next_attempt_at = now + delay_s
+        else:
             group.next_attempt_at = plan.check_at
 
     async def _wait_for_attempt(
@@ -344,11 +346,7 @@
         until = state.deadline
         if self._may_try_again(state):
             until = min(until, group.next_attempt_at)
-        done, group.tasks = await asyncio.wait(
-            group.tasks,
-            timeout=max(0.0, until - now),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+        done = await group.wait(max(0.0, until - now))
         for task in done:
             outcome = task.result()
             if self._waiting is not None:
--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -110,6 +110,8 @@
         metrics: Counts the outcomes of attempts.
         loads: Shares the loads of servers; None: they are not shared.
         usage: Counts the requests that were sent; None: nobody reports them.
+        records_durations: Whether durations are recorded, which only hedging
+            by durations uses.
     """
 
     def __init__(
@@ -125,7 +127,9 @@
         metrics: Metrics,
         loads: LoadExchange | None = None,
         usage: UsageCounter | None = None,
+        records_durations: bool = True,
     ) -> None:
+        self._records_durations = records_durations
         self._loads = loads
         self._usage = usage
         self._metrics = metrics
@@ -200,7 +204,9 @@
 
     def may_send(self, server: Server, now: float) -> bool:
         """Whether a server may get a request now; cold ones have a limit."""
-        return not server.is_cold(now) or self._cold_limiter.allows(server, now)
+        if now < server.cold_until:
+            return self._cold_limiter.allows(server, now)
+        return True
 
     def accepted_per_s(self, server: Server, now: float) -> float:
         """Returns the requests per second that a server may get.
@@ -425,8 +431,8 @@
     ) -> None:
         """Records a duration, or the time after which one was given up."""
         choice = attempt.choice
-        if choice.is_queued:
-            # The duration depends on the queue more than on the route.
+        if not self._records_durations or choice.is_queued:
+            # In a queue, it depends on the queue more than on the route.
             return
         durations = self._durations(attempt)
         ratio = duration_s / max(MIN_EXPECTED_S, choice.expected_s)
@@ -552,14 +558,12 @@
             return
         round_trip_s = self._placement.round_trip_s(choice.server)
         work_s = max(0.001, duration_s - round_trip_s)
-        # Speed during the work: the mean of those at its start and its end.
-        usual_s = max(0.001, choice.work_s / choice.pace)
-        speed_at_end = usual_s / server_state.paced_s(usual_s, now)
-        work.record_work(
-            work_s * (1.0 / choice.pace + speed_at_end) / 2,
-            choice.known_warm,
-            choice.is_home,
-        )
+        if server_state.reports_pace or choice.pace != 1.0:
+            # Speed during the work: the mean of those at its start and its end.
+            usual_s = max(0.001, choice.work_s / choice.pace)
+            speed_at_end = usual_s / server_state.paced_s(usual_s, now)
+            work_s = work_s * (1.0 / choice.pace + speed_at_end) / 2
+        work.record_work(work_s, choice.known_warm, choice.is_home)
 
     async def close(self) -> None:
         """Closes all idle connections."""
--- a/src/radishmux/gateway/server_chooser.py
+++ b/src/radishmux/gateway/server_chooser.py
@@ -158,9 +158,23 @@
         may_use: MayUse,
         now: float,
     ) -> Choice | None:
+        servers = self._fleet.usable_servers(state.service, state.regions, rule)
+        if (
+            may_use == self._may_use
+            and not state.tried_servers
+            and not state.unavailable_servers
+        ):
+            # Nothing excludes a server, as for most requests.
+            may_send = self._sender.may_send
+            return place(
+                placement_request,
+                servers,
+                lambda server: may_send(server, now),
+                now,
+            )
         return place(
             placement_request,
-            self._fleet.usable_servers(state.service, state.regions, rule),
+            servers,
             lambda server: may_use(state, server, now),
             now,
         )
--- a/src/radishmux/http/_connection.py
+++ b/src/radishmux/http/_connection.py
@@ -199,6 +199,12 @@
 
     def _parse(self, data: bytes) -> None:
         """Parses bytes until enough requests wait; keeps the others."""
+        if (
+            len(data) <= self._slice_bytes()
+            and len(self._pending) < self._max_pipelined
+        ):
+            self._parse_slice(data)
+            return
         rest = memoryview(data)
         while rest and not self._closing:
             if len(self._pending) >= self._max_pipelined:
@@ -218,22 +224,24 @@
             return _CHUNKS_SLICE_BYTES
         return max(1, self._declared_bytes - self._body_bytes)
 
-    def _parse_slice(self, data: memoryview) -> None:
+    def _parse_slice(self, data: bytes | memoryview) -> None:
         now = self._loop.time()
+        size = len(data)
         if not self._in_request:
             self._in_request = True
             self._head_bytes = 0
-            self._progress.start(now)
+            self._progress.start(now, size)
             self._set_timer(
                 self._server.limits.header_timeout_s, self._on_slow_request
             )
-        elif self._in_body:
-            self._set_timer(BODY_IDLE_S, self._on_slow_request)
-        self._progress.add(len(data), now)
+        else:
+            if self._in_body:
+                self._set_timer(BODY_IDLE_S, self._on_slow_request)
+            self._progress.add(size, now)
         if not self._in_body:
-            self._head_bytes += len(data)
+            self._head_bytes += size
         elif self._declared_bytes is None:
-            self._framing_bytes += len(data)
+            self._framing_bytes += size
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -323,16 +331,15 @@
         Raises:
             _RejectedError: The header or the trailer is too large.
         """
-        size = len(name) + len(value)
-        self._field_wire_bytes += size + _FIELD_WIRE_BYTES
-        if self._field_wire_bytes > self._server.limits.max_header_bytes:
+        size = self._field_wire_bytes + len(name) + len(value)
+        size += _FIELD_WIRE_BYTES
+        self._field_wire_bytes = size
+        if size > self._server.limits.max_header_bytes:
             raise _RejectedError("header_too_large")
-        if self._in_body:
-            return
-        self._fields_bytes += size + _FIELD_BYTES
-        self._headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-        )
+        if not self._in_body:
+            self._headers.append(
+                (name.decode("latin-1").lower(), value.decode("latin-1"))
+            )
 
     def on_headers_complete(self) -> None:
         """Checks the head; sends an expected 100 Continue.
@@ -344,13 +351,11 @@
                 is too large to be skipped.
         """
         self._received_at = self._loop.time()
+        self._fields_bytes = self._received_fields_bytes
+        size = len(self._target) + self._field_wire_bytes
         self._in_body = True
         self._field_wire_bytes = 0
         limits = self._server.limits
-        size = len(self._target) + sum(
-            len(name) + len(value) + _FIELD_WIRE_BYTES
-            for name, value in self._headers
-        )
         if size > limits.max_header_bytes:
             raise _RejectedError("header_too_large")
         expects_continue = False
@@ -435,7 +440,7 @@
         body = bytes(self._body) if is_small else self._body
         self._body = bytearray()
         self._in_request = self._in_body = False
-        self._head_bytes = self._fields_bytes = 0
+        self._head_bytes = self._fields_bytes = self._field_wire_bytes = 0
         self._cancel_timer()
         limit.touch(self)
         self._pending.append(pending)
@@ -489,19 +494,36 @@
     @property
     def _unfinished_bytes(self) -> int:
         """Memory of the request that is being received."""
-        return self._fields_bytes + len(self._target) + len(self._body)
+        fields_bytes = self._fields_bytes
+        if self._in_request and not self._in_body:
+            fields_bytes = self._received_fields_bytes
+        return fields_bytes + len(self._target) + len(self._body)
+
+    @property
+    def _received_fields_bytes(self) -> int:
+        """Memory of the fields of a head that is being received."""
+        count = len(self._headers)
+        return self._field_wire_bytes + count * (
+            _FIELD_BYTES - _FIELD_WIRE_BYTES
+        )
 
     @property
     def size(self) -> int:
         """Memory of the connection and all of its requests."""
-        if self._transport is None:
+        transport = self._transport
+        if transport is None:
             return self._held_bytes
+        unsent_bytes = 0
+        if self._pending:
+            unsent_bytes = self.unsent_bytes
+        elif not self._aborted:
+            unsent_bytes = transport.get_write_buffer_size()
         return (
             _CONNECTION_BYTES
             + self._held_bytes
             + self._unfinished_bytes
             + len(self._unparsed)
-            + self.unsent_bytes
+            + unsent_bytes
         )
 
     def _settle(self) -> None:
@@ -787,12 +809,11 @@
         """Bytes of completed responses not yet passed to the socket."""
         if self._transport is None or self._aborted:
             return 0
-        waiting = sum(
-            len(pending.response.body)
-            for pending in self._pending
-            if pending.response is not None
-        )
-        return waiting + self._transport.get_write_buffer_size()
+        unsent = self._transport.get_write_buffer_size()
+        for pending in self._pending:
+            if pending.response is not None:
+                unsent += len(pending.response.body)
+        return unsent
 
     def close(self) -> None:
         """Closes the connection once the write buffer is sent.
--- a/src/radishmux/http/_progress.py
+++ b/src/radishmux/http/_progress.py
@@ -18,10 +18,11 @@
         self._bytes = self._previous_bytes = 0
         self._started_at = self._window_at = -math.inf
 
-    def start(self, now: float) -> None:
-        """Begins with a new request."""
+    def start(self, now: float, size: int = 0) -> None:
+        """Begins with a new request of which some bytes were received."""
         self._started_at = self._window_at = now
-        self._bytes = self._previous_bytes = 0
+        self._bytes = size
+        self._previous_bytes = 0
 
     def add(self, size: int, now: float) -> None:
         """Adds received bytes."""
--- a/src/radishmux/http/memory_budget.py
+++ b/src/radishmux/http/memory_budget.py
@@ -97,6 +97,8 @@
             unchanged.
         """
         added = size - self._sizes.get(holder, 0)
+        if not added:
+            return True
         if added > 0 and self._used_bytes + added > self._limit:
             allowed = self._make_room(holder, added, may_give_up_it=True)
             added = size - self._sizes.get(holder, 0)
@@ -105,18 +107,22 @@
                 self._used_bytes + added > self._limit + reserve
             ):
                 return False
-        self._record(holder, size)
+        self._apply(holder, size, added)
         return True
 
     def _record(self, holder: Holder, size: int) -> int:
         """Records a size and returns by how much it has grown."""
         added = size - self._sizes.get(holder, 0)
+        if added:
+            self._apply(holder, size, added)
+        return added
+
+    def _apply(self, holder: Holder, size: int, added: int) -> None:
         self._used_bytes += added
         if size:
             self._sizes[holder] = size
         else:
             self._sizes.pop(holder, None)
-        return added
 
     def _make_room(
         self, holder: Holder, added: int, may_give_up_it: bool = False
--- a/src/radishmux/platform/_records.py
+++ b/src/radishmux/platform/_records.py
@@ -68,7 +68,9 @@
 
     A newer build of the platform may append parts that are not known here.
     """
-    return _PART_END.split(value, 1)[0].strip()
+    if "," in value or ";" in value:
+        value = _PART_END.split(value, 1)[0]
+    return value.strip()
 
 
 def readable_items(
--- a/src/radishmux/platform/dialect.py
+++ b/src/radishmux/platform/dialect.py
@@ -129,28 +129,29 @@
 
 def read_report(response: ServerResponse) -> ExecutionReport:
     """Returns what a response says about the execution of its request."""
-    not_executed = response.header(NOT_EXECUTED) is not None
+    # The first value of each header, in one pass over them.
+    headers = dict(reversed(response.headers))
+    not_executed = NOT_EXECUTED in headers
     misdirected = response.status == _MISDIRECTED_STATUS
     return ExecutionReport(
         verdict=Verdict.NOT_RUN if not_executed or misdirected else Verdict.RAN,
         misdirected=misdirected,
-        is_authentic=response.header(SEAL) is not None
-        and response.header(REQUEST_ID) is not None
-        and response.header("content-encoding") is None,
-        load=_parse_load(response),
-        limit_per_s=_parse_limit(response),
-        rest_s=_parse_rest(response),
-        is_leaving=first_part(response.header(LEAVING) or "") == "1",
+        is_authentic=SEAL in headers
+        and REQUEST_ID in headers
+        and "content-encoding" not in headers,
+        load=_parse_load(headers.get(LOAD)),
+        limit_per_s=_parse_limit(headers.get(LIMIT)),
+        rest_s=_parse_rest(response.status, headers.get(RETRY_AFTER)),
+        is_leaving=LEAVING in headers and first_part(headers[LEAVING]) == "1",
     )
 
 
-def _parse_load(response: ServerResponse) -> LoadReport | None:
-    value = response.header(LOAD)
+def _parse_load(value: str | None) -> LoadReport | None:
     if value is None:
         return None
     figures = value.split(",")
     try:
-        running, waiting, slots = (int(part) for part in figures[:3])
+        running, waiting, slots = map(int, figures[:3])
     except ValueError:
         return None
     pace = _parse_pace(figures[3]) if len(figures) > 3 else None
@@ -165,14 +166,12 @@
     return number / 100
 
 
-def _parse_limit(response: ServerResponse) -> float | None:
-    value = response.header(LIMIT)
+def _parse_limit(value: str | None) -> float | None:
     return math.inf if value is None else _parse_number(first_part(value))
 
 
-def _parse_rest(response: ServerResponse) -> float:
-    value = response.header(RETRY_AFTER)
-    if value is None or response.status != _TURNED_AWAY_STATUS:
+def _parse_rest(status: int, value: str | None) -> float:
+    if value is None or status != _TURNED_AWAY_STATUS:
         return 0.0
     return _parse_number(first_part(value)) or 0.0
 
--- a/src/radishmux/steer/admission.py
+++ b/src/radishmux/steer/admission.py
@@ -86,7 +86,10 @@
 
     def is_short(self, now: float) -> bool:
         """Returns whether the service lacks capacity."""
-        signs = sum(self._signs.counts(now).values())
+        counts = self._signs.counts(now)
+        if not counts:
+            return False
+        signs = sum(counts.values())
         if signs < MIN_SIGNS:
             return False
         arrivals = sum(self._arrivals.counts(now).values())
--- a/src/radishmux/steer/duration_histogram.py
+++ b/src/radishmux/steer/duration_histogram.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
+from itertools import accumulate
+from operator import mul
 
 # Buckets are a factor of 2**(1/4) wide, so that the error of a duration is
 # below a tenth, and reach from a quarter to 64 times the expected duration.
@@ -14,6 +17,7 @@
     2.0 ** ((n - _ZERO) / _BUCKETS_PER_OCTAVE) for n in range(_BUCKETS)
 )
 _MIDDLES = tuple(edge * 2.0 ** (0.5 / _BUCKETS_PER_OCTAVE) for edge in _EDGES)
+_MIDDLES_FROM_LAST = _MIDDLES[::-1]
 # Samples at which all counts are halved, so that older ones lose their weight.
 MAX_SAMPLES = 512.0
 # Samples below which the mean is not used.
@@ -29,10 +33,12 @@
     hdrhistogram has no samples with fractions, which cancelled requests need.
     """
 
-    __slots__ = ("_counts", "_total", "_weighted_sum")
+    __slots__ = ("_counts", "_tails", "_total", "_weighted_sum")
 
     def __init__(self) -> None:
         self._counts: list[float] | None = None
+        # Count and sum of each bucket and those after it; None after a change.
+        self._tails: tuple[list[float], list[float]] | None = None
         self._total = 0.0
         self._weighted_sum = 0.0
 
@@ -46,7 +52,8 @@
     def record(self, ratio: float) -> None:
         """Records the duration of a request that got its response."""
         self._add(_bucket(ratio), 1.0)
-        self._limit()
+        if self._total >= MAX_SAMPLES:
+            self._halve()
 
     def record_cancelled(self, ratio: float) -> None:
         """Records a request that was given up after a time.
@@ -65,7 +72,8 @@
             for n in range(first + 1, _BUCKETS):
                 if counts[n]:
                     self._add(n, counts[n] / beyond)
-        self._limit()
+        if self._total >= MAX_SAMPLES:
+            self._halve()
 
     def rest(self, ratio: float) -> float:
         """Returns the mean ratio that remains to those that take longer."""
@@ -97,25 +105,33 @@
         Returns:
             The ratio, or None if there is none.
         """
-        counts = self._counts
-        if counts is None:
+        if self._counts is None:
             return None
-        count = total = 0.0
-        found: float | None = None
+        counts, totals = self._tails or self._compute_tails(self._counts)
         end: float | None = None
-        for n in range(_BUCKETS - 1, -1, -1):
-            edge = max(start, _EDGES[n])
-            if _MIDDLES[n] <= start:
-                break
-            count += counts[n]
-            total += counts[n] * _MIDDLES[n]
+        for n in range(bisect_right(_MIDDLES, start), _BUCKETS):
+            count = counts[n]
             if count < MIN_BEYOND:
-                continue
-            if end is None:
-                end = min(_EDGES[n] * _EDGES[_ZERO + 1], _EDGES[-1])
-            if total / count - edge > whole:
-                found = edge
-        return end if found is None and or_end else found
+                break
+            edge = end = _EDGES[n]
+            if edge < start:
+                edge = start
+            if totals[n] / count - edge > whole:
+                return edge
+        if end is None or not or_end:
+            return None
+        return min(end * _EDGES[_ZERO + 1], _EDGES[-1])
+
+    def _compute_tails(
+        self, counts: list[float]
+    ) -> tuple[list[float], list[float]]:
+        from_last = counts[::-1]
+        tails = list(accumulate(from_last))
+        totals = list(accumulate(map(mul, from_last, _MIDDLES_FROM_LAST)))
+        tails.reverse()
+        totals.reverse()
+        self._tails = (tails, totals)
+        return self._tails
 
     @staticmethod
     def next_edge(ratio: float) -> float:
@@ -138,14 +154,16 @@
         return count, total
 
     def _add(self, bucket: int, weight: float) -> None:
+        self._tails = None
         if self._counts is None:
             self._counts = [0.0] * _BUCKETS
         self._counts[bucket] += weight
         self._total += weight
         self._weighted_sum += weight * _MIDDLES[bucket]
 
-    def _limit(self) -> None:
-        if self._total >= MAX_SAMPLES and self._counts is not None:
+    def _halve(self) -> None:
+        self._tails = None
+        if self._counts is not None:
             self._counts = [count / 2 for count in self._counts]
             self._total /= 2
             self._weighted_sum /= 2
--- a/src/radishmux/steer/hedging.py
+++ b/src/radishmux/steer/hedging.py
@@ -80,20 +80,22 @@
         self._work = work
         self._started_at = now
         self._target_at = target_at
-        self._expected_s = max(MIN_EXPECTED_S, first.expected_s)
+        expected_s = first.expected_s
+        if expected_s < MIN_EXPECTED_S:
+            expected_s = MIN_EXPECTED_S
+        self._expected_s = expected_s
         self._durations = (
             None
             if first.is_queued
             else work.durations(first.known_warm, first.is_home)
         )
         second_s = first.expected_cold_s if has_object else first.expected_s
-        mean_ratio = work.durations(not has_object, False).mean
-        self._second_s = max(MIN_EXPECTED_S, second_s) * mean_ratio
+        if second_s < MIN_EXPECTED_S:
+            second_s = MIN_EXPECTED_S
+        self._second_s = second_s * work.durations(not has_object, False).mean
         self._usual_at = now + self._measured_delay_s(
             usual_delay_s(first.expected_cold_s)
         )
-        self.is_early = False
-        self.check_at = self._usual_at
         self._schedule(1.0)
 
     def _measured_delay_s(self, delay_s: float) -> float:
@@ -105,9 +107,9 @@
         later = durations.first_ratio(
             ratio, self._second_s / self._expected_s, or_end=True
         )
-        return (
-            delay_s if later is None else max(ratio, later) * self._expected_s
-        )
+        if later is None:
+            return delay_s
+        return max(ratio, later) * self._expected_s
 
     def _schedule(self, from_ratio: float) -> None:
         """Sets the next check, at a ratio to the expected duration or later."""
--- a/src/radishmux/steer/object_places.py
+++ b/src/radishmux/steer/object_places.py
@@ -144,9 +144,10 @@
         """
         if self.level is Level.DOMAIN:
             return server is self.home
-        return any(
-            server is home for home in self.homes.by_level[: self.level + 1]
-        )
+        for home in self.homes.by_level[: self.level + 1]:
+            if server is home:
+                return True
+        return False
 
 
 class ObjectPlaces:
--- a/src/radishmux/steer/placement.py
+++ b/src/radishmux/steer/placement.py
@@ -220,6 +220,9 @@
         The outcomes of requests to an earlier start do not change it.
         """
         started_ms = server.entry.started_ms
+        state = self._states.get(server.name)
+        if state is not None and state.started_ms == started_ms:
+            return state
         state = self.state(server.name, started_ms)
         if 0 < started_ms < state.started_ms:
             return ServerState(started_ms)
@@ -386,16 +389,21 @@
             state = self.state_of(server)
             if not state.is_available(now) or not may_use(server):
                 continue
-            if avoid_crowded and self._is_crowded_and_cold(
-                server, state, place, now
-            ):
+            load = state.load(now)
+            if avoid_crowded and self._is_crowded_and_cold(server, load, place):
+                continue
+            is_in_home_region = server.region == home_region
+            # The cheapest one in the home region never costs less than the
+            # cheapest one of all.
+            rival = in_home_region if is_in_home_region else cheapest
+            choice = self._assess(
+                server, state, load, request, work, place, now, rival
+            )
+            if choice is None:
                 continue
-            choice = self._assess(server, state, request, work, place, now)
             if cheapest is None or choice.cost < cheapest.cost:
                 cheapest = choice
-            if server.region == home_region and (
-                in_home_region is None or choice.cost < in_home_region.cost
-            ):
+            if is_in_home_region:
                 in_home_region = choice
         return in_home_region, cheapest
 
@@ -406,29 +414,29 @@
 
     @staticmethod
     def _is_crowded_and_cold(
-        server: Server,
-        state: ServerState,
-        place: ObjectPlace | None,
-        now: float,
+        server: Server, load: float, place: ObjectPlace | None
     ) -> bool:
         """Returns whether a request would run cold on a crowded server.
 
         A cold request takes several times the slots there. The request waits
         for the home of its object or is refused instead.
         """
-        if place is None or place.is_home(server):
+        if place is None or load < CROWDED_LOAD_RATIO * server.entry.slots:
             return False
-        return state.load(now) >= CROWDED_LOAD_RATIO * server.entry.slots
+        return not place.is_home(server)
 
     def _assess(
         self,
         server: Server,
         state: ServerState,
+        load: float,
         request: PlacementRequest,
         work: WorkTimes,
         place: ObjectPlace | None,
         now: float,
-    ) -> Choice:
+        rival: Choice | None,
+    ) -> Choice | None:
+        """Returns the choice of a server unless a rival costs no more."""
         known_warm = place is None or state.is_warm(request.key or 0)
         is_home = (
             place is not None
@@ -437,9 +445,11 @@
         )
         slowness = state.slowness(now)
         work_s = work.expected(known_warm, is_home) * slowness
-        slots = server.entry.slots
-        load = state.load(now)
-        queued = max(0.0, load + 1 - slots)
+        entry = server.entry
+        slots = entry.slots
+        queued = load + 1 - slots
+        if queued < 0.0:
+            queued = 0.0
         # Queued requests are usually on servers where their objects are warm or
         # become warm.
         wait_s = queued * work.warm_s * QUEUED_WORK_FACTOR * slowness / slots
@@ -452,13 +462,13 @@
             pace = work_s / usual_s
         expected_s = self.round_trip_s(server) + work_s + wait_s
         busy = (load + 1) / slots
-        if place is None or is_home:
-            busy = min(1.0, busy)
-        crowding_s = work_s * CROWDING_FACTOR * max(0.0, 2.0 * busy - 1.0)
-        cost = (expected_s + crowding_s) * (
-            1.0 + FAILURE_COST * state.failure_share(now)
-        )
-        if server.entry.failure_domain != self._failure_domain:
+        if busy > 1.0 and (place is None or is_home):
+            busy = 1.0
+        cost = expected_s
+        if busy > 0.5:
+            cost += work_s * CROWDING_FACTOR * (2.0 * busy - 1.0)
+        cost *= 1.0 + FAILURE_COST * state.failure_share(now)
+        if entry.failure_domain != self._failure_domain:
             size = 1.0 + request.transfer_bytes / LOCALITY_SCALE_BYTES
             cost += DOMAIN_CROSSING_S * size
         if request.target_s < math.inf:
@@ -470,7 +480,9 @@
         if request.is_retry and state.is_on_trial:
             cost += TRIAL_COST_S
         if place is not None and server is not place.home:
-            cost += _NOT_HOME_COST_S + 1e-5 * place.homes.ranks[server.name]
+            cost += _NOT_HOME_COST_S + 1e-5 * place.homes.ranks[entry.name]
+        if rival is not None and not cost < rival.cost:
+            return None
         return Choice(
             server=server,
             expected_s=expected_s,
@@ -491,7 +503,12 @@
     Approximates a normal distribution of the duration by a logistic one.
     """
     excess = (expected_s - request.target_s) / (DURATION_SPREAD * expected_s)
-    return 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, 1.7 * excess))))
+    exponent = 1.7 * excess
+    if exponent > 30.0:
+        exponent = 30.0
+    elif exponent < -30.0:
+        exponent = -30.0
+    return 1.0 / (1.0 + math.exp(-exponent))
 
 
 def object_key(route: str, affinity: str) -> int:
--- a/src/radishmux/steer/server_state.py
+++ b/src/radishmux/steer/server_state.py
@@ -79,6 +79,7 @@
         paused_until: Monotonic time until which the server gets no requests.
         last_sent_at: Monotonic time of the latest request.
         rest_until: Monotonic time until which the server asked for rest.
+        reports_pace: Whether the server has reported its pace.
     """
 
     __slots__ = (
@@ -101,6 +102,7 @@
         "in_flight",
         "last_sent_at",
         "paused_until",
+        "reports_pace",
         "rest_until",
         "started_ms",
     )
@@ -118,6 +120,7 @@
         self._pace = 1.0
         self._mean_pace = 1.0
         self._pace_at = -math.inf
+        self.reports_pace = False
         self._sent_times: deque[float] = deque(maxlen=_MAX_SENT_TIMES)
         self._slowness = 1.0
         self._slowness_at = 0.0
@@ -142,21 +145,18 @@
         """Whether no response has shown yet that a rest has ended."""
         return self._on_trial
 
-    @property
-    def reports_pace(self) -> bool:
-        """Whether the server has reported its pace."""
-        return self._pace_at > -math.inf
-
     def is_available(self, now: float) -> bool:
         """Returns whether the server may get a request.
 
         After a rest it gets one at a time until a response shows that it
         accepts requests again. Otherwise many would be turned away.
         """
-        if self.unavailable_until > now:
+        if self.paused_until > now or self.rest_until > now:
             return False
+        if not self._on_trial:
+            return True
         has_trial = self.in_flight > 0 and self.last_sent_at >= self.rest_until
-        return not (self._on_trial and has_trial)
+        return not has_trial
 
     def load(self, now: float) -> float:
         """Returns the estimated requests at the server.
@@ -194,11 +194,15 @@
 
     def slowness(self, now: float) -> float:
         """Returns how many times longer than usual requests take, from 1."""
+        if self._slowness == 1.0:
+            return 1.0
         decay = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
         return 1.0 + (self._slowness - 1.0) * decay
 
     def failure_share(self, now: float) -> float:
         """Returns the share of recent requests that failed, from 0 to 1."""
+        if not self._failure_share:
+            return 0.0
         decay = 0.5 ** ((now - self._failure_share_at) / FAILURE_HALF_LIFE_S)
         return self._failure_share * decay
 
@@ -266,6 +270,7 @@
         self._mean_pace = mean_pace + weight * (pace - mean_pace)
         self._pace = pace
         self._pace_at = now
+        self.reports_pace = True
 
     def _decayed_mean_pace(self, age_s: float) -> float:
         outdated_s = max(0.0, age_s - MEAN_PACE_VALID_S)
--- a/tests/gateway/test_paced_work.py
+++ b/tests/gateway/test_paced_work.py
@@ -35,7 +35,7 @@
         self.ratios.append(ratio)
 
 
-def make_sender():
+def make_sender(**fields):
     placement, rollouts = Placement("a", "a-1"), NoRollouts()
     sender = ServerSender(
         None,
@@ -47,6 +47,7 @@
         dialect,
         Clock(),
         Metrics(),
+        **fields,
     )
     return sender, placement, rollouts
 
@@ -117,3 +118,16 @@
         sender._record_cancelled(attempt, 2.4 * attempt.choice.expected_s)
     assert (placement.state("x").slowness(100.0) > 2.5) == is_early
     assert len(rollouts.ratios) == (4 if is_early else 0)
+
+
+def test_durations_that_nothing_uses_are_not_recorded():
+    """Guards against work for each request that no decision needs."""
+    sender, placement, _ = make_sender(records_durations=False)
+    work = placement.work_times("s", "r")
+    usual_s = work.warm_s
+    for _ in range(20):
+        attempt = start(placement, None)
+        sender._record_response(attempt, OK, 0.0004 + 1.5 * usual_s, 100.0)
+        sender._record_cancelled(start(placement, None), 0.5)
+    assert work.durations(True, False).mean == 1.0
+    assert work.warm_s > 1.2 * usual_s
--- a/tests/steer/test_hedging.py
+++ b/tests/steer/test_hedging.py
@@ -180,3 +180,36 @@
     for ratio in (0.0, 1e-9, 1e9):
         histogram.record(ratio)
         histogram.record_cancelled(ratio)
+
+
+def ratio_by_definition(ratios, start, whole):
+    """Returns what `first_ratio` does, by a new histogram."""
+    fresh = DurationHistogram()
+    for ratio in ratios:
+        fresh.record(ratio)
+    return fresh.first_ratio(start, whole)
+
+
+# Guards against sums of buckets that are kept after a count has changed.
+def test_every_record_counts_in_the_next_decision():
+    rng = random.Random(4)
+    durations = DurationHistogram()
+    ratios = []
+    results = set()
+    for _ in range(int(MAX_SAMPLES) + 100):
+        ratios.append(heavy_tail(rng))
+        durations.record(ratios[-1])
+        result = durations.first_ratio(1.0, 1.5)
+        assert result == ratio_by_definition(ratios, 1.0, 1.5)
+        results.add(result)
+    assert len(results) > 1
+
+
+def test_cancelled_requests_count_in_the_next_decision():
+    durations = DurationHistogram()
+    for ratio in [1.0] * 100 + [8.0] * 3:
+        durations.record(ratio)
+    assert durations.first_ratio(1.5, 2.0) is None
+    for _ in range(2):
+        durations.record_cancelled(2.0)
+    assert durations.first_ratio(1.5, 2.0) is not None
--- a/tests/test_request_digest.py
+++ b/tests/test_request_digest.py
@@ -37,6 +37,16 @@
     assert request_digest(**REQUEST) != request_digest(**(REQUEST | change))
 
 
+# Instances of other builds tell each other digests.
+def test_digest_is_that_of_earlier_builds():
+    assert request_digest(**REQUEST) == "dfbcb469237f651e514da1acc4763ce0"
+    other = {"target": "h.example/\udc80", "body": b"", "body_length": None}
+    assert (
+        request_digest(**(REQUEST | other))
+        == "5935a2c9665e5e96f58cbfec7345e24f"
+    )
+
+
 def test_id_and_headers_do_not_count():
     digests = set()
     for n in range(3):
