Let the soak run duties, paces, waiting and hedging by durations

The fleet of the soak reports its usage to the stand-in of the API, its servers report a pace and have long work, and faults hit the holder, the API and the room of the servers. New rules: DUTY_TOKEN, DUTY_ORDER, DUTY_REPORT, DUTY_FENCED, and NOT_RUN for refused requests that may be repeated.

The stand-in of the store kept a deleted key with its old lease, whose end deleted a later key of the same name: after one release of a duty every further holder lost it. It now drops the key from the lease.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,8 @@
 from rich.console import Console
 
 from soak.checks import RECOVERY_S
-from soak.faults import Schedule, draw
+from soak.component_faults import draw
+from soak.faults import Schedule
 from soak.report import show
 from soak.run import Outcome, play
 from soak.shrink import shrink
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -51,7 +51,7 @@
 Draw = Callable[[random.Random, Schedule], dict[str, object]]
 KINDS: Registry[str, Draw] = Registry("fault")
 
-_LINKS = ("SLOW", "SILENT", "DEAF", "MUTE", "CLOSED")
+LINKS = ("SLOW", "SILENT", "DEAF", "MUTE", "CLOSED")
 _CUTS = ("CUT_SILENT", "CUT_RESET", "CUT_NEW")
 
 
@@ -139,7 +139,7 @@
     return {
         "target": _gateway(rng, schedule),
         "for_s": _length(rng),
-        "how": rng.choice(_LINKS),
+        "how": rng.choice(LINKS),
     }
 
 
@@ -166,7 +166,7 @@
     return {
         "target": _server(rng, schedule),
         "for_s": _length(rng),
-        "how": rng.choice(_LINKS),
+        "how": rng.choice(LINKS),
     }
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,8 +13,9 @@
 
 from bench.fleet import free_addresses
 from soak.callers import Target
+from soak.components import LONG_SHARE, gateway_settings, server_paces
 from soak.proxy import FaultProxy, Link
-from soak.records import Act, Arrival, Disruption, History, Run
+from soak.records import Act, Arrival, Disruption, DutyCall, History, Run
 from tests.gateway.fleet import (
     Fleet,
     Gateway,
@@ -31,6 +32,7 @@
 # A draining server goes on for the users' bound and a little longer.
 LEAVE_AFTER_S = 3.5
 WORK_MS = 15.0
+SLOTS = 16
 # Rate per second and burst of the customers; the second is beyond its rate.
 RATES = {"open": (0.0, 0.0), "limited": (30.0, 30.0)}
 KEYS_OF_OPEN = 8
@@ -101,6 +103,7 @@
         enter = self._stack.enter_async_context
         listen = free_addresses(1 + self._counts[0])
         self.store = await enter(standin("platform_store", listen))
+        self.api = await enter(standin("duties_api"))
         self.platform = Fleet(self.store, {}, self._folder)
         for number in range(self._counts[1]):
             server = Server(number, await enter(FaultProxy()))
@@ -120,6 +123,7 @@
                 link.address,
                 self._folder,
                 full_mesh_max=self._full_mesh_max,
+                **gateway_settings(self.api.address),
             )
             self.gateways.append(gateway)
         views = {
@@ -197,6 +201,10 @@
             for line in path.read_bytes().splitlines()
         ]
 
+    async def duty_calls(self) -> list[DutyCall]:
+        """Returns the calls to the API for duties, as they arrived."""
+        return msgspec.convert((await self.api.show())["log"], list[DutyCall])
+
     def note(self, kind: str, subject: str) -> None:
         """Records an act that the store has acknowledged."""
         self._history.acts.append(
@@ -271,7 +279,11 @@
             )
         )
         await server.standin.control(
-            work_ms=WORK_MS, slots=16, hang_on=CRASHING
+            work_ms=WORK_MS,
+            slots=SLOTS,
+            hang_on=CRASHING,
+            paces=server_paces(server.name),
+            long_share=LONG_SHARE,
         )
         server.proxy.target = server.standin.address
         self._set_links()
@@ -312,7 +324,7 @@
         entry = server_entry(
             server.proxy.address,
             Zone=domain,
-            Slots=16,
+            Slots=SLOTS,
             State="draining" if server.draining else "ready",
             Sequence=self._sequence,
         )
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -20,7 +20,7 @@
 from tests.gateway.fleet import Gateway
 
 Inject = Callable[["Injector", Fault], Awaitable[None]]
-_INJECT: Registry[str, Inject] = Registry("injection")
+INJECT: Registry[str, Inject] = Registry("injection")
 # A process that has had SIGTERM is killed after the users' grace.
 _GRACE_S = 6.0
 # What servers in need name.
@@ -70,7 +70,7 @@
             for fault in self._schedule.faults:
                 pause_s = started_at + fault.at - time.monotonic()
                 await asyncio.sleep(max(0.0, pause_s))
-                group.create_task(_INJECT[fault.kind](self, fault))
+                group.create_task(INJECT[fault.kind](self, fault))
 
     def _lock(self, name: str) -> asyncio.Lock:
         return self._locks.setdefault(name, asyncio.Lock())
@@ -83,7 +83,7 @@
         servers = self._fleet.servers
         return servers[fault.target % len(servers)]
 
-    @_INJECT.register("gateway_kill")
+    @INJECT.register("gateway_kill")
     async def _kill(self, fault: Fault) -> None:
         gateway = self._gateway(fault)
         async with self._lock(gateway.name):
@@ -94,7 +94,7 @@
             await self._fleet.start(gateway)
             disruption.until = time.time()
 
-    @_INJECT.register("gateway_term")
+    @INJECT.register("gateway_term")
     async def _term(self, fault: Fault) -> None:
         gateway = self._gateway(fault)
         async with self._lock(gateway.name):
@@ -109,7 +109,7 @@
             await self._fleet.start(gateway)
             disruption.until = time.time()
 
-    @_INJECT.register("gateway_pause")
+    @INJECT.register("gateway_pause")
     async def _pause(self, fault: Fault) -> None:
         gateway = self._gateway(fault)
         async with self._lock(gateway.name):
@@ -119,11 +119,11 @@
             self._fleet.signal(gateway, signal.SIGCONT)
             disruption.until = time.time()
 
-    @_INJECT.register("gateway_reload")
+    @INJECT.register("gateway_reload")
     async def _reload(self, fault: Fault) -> None:
         self._fleet.signal(self._gateway(fault), signal.SIGHUP)
 
-    @_INJECT.register("gateway_cut")
+    @INJECT.register("gateway_cut")
     async def _cut(self, fault: Fault) -> None:
         """Parts a gateway from all servers; it stays in touch otherwise."""
         gateway = self._gateway(fault)
@@ -134,7 +134,7 @@
             self._fleet.cut(gateway, Link.SOUND)
             disruption.until = time.time()
 
-    @_INJECT.register("crashing_request")
+    @INJECT.register("crashing_request")
     async def _crashing_request(self, fault: Fault) -> None:
         """A request comes again and again and ends each server that runs it."""
         caller = CrashingCaller(self._fleet, fault)
@@ -159,7 +159,7 @@
                     await self._fleet.start_server(server)
             disruption.until = time.time()
 
-    @_INJECT.register("store_link")
+    @INJECT.register("store_link")
     async def _store_link(self, fault: Fault) -> None:
         gateway = self._gateway(fault)
         link = self._fleet.store_links[self._fleet.gateways.index(gateway)]
@@ -170,7 +170,7 @@
             link.set_link(Link.SOUND)
             disruption.until = time.time()
 
-    @_INJECT.register("store_down")
+    @INJECT.register("store_down")
     async def _store_down(self, fault: Fault) -> None:
         async with self._lock("store"):
             disruption = self._fleet.disrupt(fault.kind, "")
@@ -179,7 +179,7 @@
             await self._fleet.store.control(down="no")
             disruption.until = time.time()
 
-    @_INJECT.register("store_restored")
+    @INJECT.register("store_restored")
     async def _store_restored(self, fault: Fault) -> None:
         """The store is away and comes back from a copy some seconds old."""
         async with self._lock("store"):
@@ -190,7 +190,7 @@
             await self._fleet.store.control(down="no")
             disruption.until = time.time()
 
-    @_INJECT.register("callers_leave")
+    @INJECT.register("callers_leave")
     async def _callers_leave(self, fault: Fault) -> None:
         """Callers of a gateway leave at once, also while it stands still."""
         gateway = self._gateway(fault)
@@ -204,19 +204,19 @@
             await calls
             disruption.until = time.time()
 
-    @_INJECT.register("store_lost_answers")
+    @INJECT.register("store_lost_answers")
     async def _store_lost_answers(self, fault: Fault) -> None:
         disruption = self._fleet.disrupt(fault.kind, "")
         await self._fleet.store.control(lose_answers=3)
         disruption.until = time.time() + 1.0
 
-    @_INJECT.register("store_history_lost")
+    @INJECT.register("store_history_lost")
     async def _store_history_lost(self, fault: Fault) -> None:
         disruption = self._fleet.disrupt(fault.kind, "")
         await self._fleet.store.control(compact=True)
         disruption.until = time.time()
 
-    @_INJECT.register("server_kill")
+    @INJECT.register("server_kill")
     async def _server_kill(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
@@ -226,7 +226,7 @@
             await self._fleet.start_server(server)
             disruption.until = time.time()
 
-    @_INJECT.register("server_pause")
+    @INJECT.register("server_pause")
     async def _server_pause(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
@@ -240,7 +240,7 @@
                     standin.process.send_signal(signal.SIGCONT)
             disruption.until = time.time()
 
-    @_INJECT.register("server_link")
+    @INJECT.register("server_link")
     async def _server_link(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"link of server {server.number}"):
@@ -250,7 +250,7 @@
             server.proxy.set_link(Link.SOUND)
             disruption.until = time.time()
 
-    @_INJECT.register("server_lost_answers")
+    @INJECT.register("server_lost_answers")
     async def _server_lost_answers(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
@@ -258,7 +258,7 @@
             await control(server, lose_answers=5)
             disruption.until = time.time() + 1.0
 
-    @_INJECT.register("server_drain")
+    @INJECT.register("server_drain")
     async def _server_drain(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
@@ -271,11 +271,11 @@
             await asyncio.sleep(2.0)
             await self._fleet.start_server(server)
 
-    @_INJECT.register("server_limited")
+    @INJECT.register("server_limited")
     async def _server_limited(self, fault: Fault) -> None:
         await self._need(fault, "limit_per_s", LIMIT_PER_S)
 
-    @_INJECT.register("server_resting")
+    @INJECT.register("server_resting")
     async def _server_resting(self, fault: Fault) -> None:
         await self._need(fault, "rest_s", REST_S)
 
@@ -287,7 +287,7 @@
             await asyncio.sleep(fault.for_s)
             await control(server, **{field: None})
 
-    @_INJECT.register("server_leaving")
+    @INJECT.register("server_leaving")
     async def _server_leaving(self, fault: Fault) -> None:
         server = self._server(fault)
         async with self._lock(f"server {server.number}"):
@@ -297,11 +297,11 @@
             await asyncio.sleep(2.0)
             await self._fleet.start_server(server)
 
-    @_INJECT.register("configuration")
+    @INJECT.register("configuration")
     async def _configuration(self, fault: Fault) -> None:
         await self._fleet.configure()
 
-    @_INJECT.register("key_withdrawn")
+    @INJECT.register("key_withdrawn")
     async def _key_withdrawn(self, fault: Fault) -> None:
         if len(self._fleet.keys) > 1:
             key = self._fleet.keys.pop()
--- a/soak/records.py
+++ b/soak/records.py
@@ -110,6 +110,30 @@
     at: float
 
 
+class DutyCall(msgspec.Struct, kw_only=True):
+    """A call to the API for duties. Times are Unix seconds.
+
+    Attributes:
+        holder: Name of the instance that made it.
+        token: Its fencing token.
+        window: The window that it reports.
+        counts: The counts that it reports.
+        at: When it reached the API.
+        ended_at: When it was executed.
+        status: Status of the answer; 0: none.
+        is_answered: Whether the answer was sent to the holder.
+    """
+
+    holder: str
+    token: int
+    window: int
+    counts: dict[str, int]
+    at: float
+    ended_at: float = 0.0
+    status: int = 0
+    is_answered: bool = False
+
+
 class Stall(msgspec.Struct, frozen=True, kw_only=True):
     """Time in which callers and proxies of the run did nothing.
 
@@ -136,6 +160,8 @@
         ended_at: Unix seconds of the end.
         rates: Rate per second and burst of each customer.
         stalls: Times in which the process of the run stood still.
+        duty_calls: Calls to the API for duties.
+        api_faults: Faults of that API, which excuse nothing.
     """
 
     calls: list[Call] = []
@@ -148,3 +174,5 @@
     ended_at: float = 0.0
     rates: dict[str, tuple[float, float]] = {}
     stalls: list[Stall] = []
+    duty_calls: list[DutyCall] = []
+    api_faults: list[Disruption] = []
--- a/soak/report.py
+++ b/soak/report.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from soak.duty_checks import summary
 from soak.run import Outcome
 
 _COLUMNS = 60
@@ -14,6 +15,9 @@
     "gateway": "g",
     "store": "s",
     "server": "b",
+    "servers": "b",
+    "holder": "g",
+    "api": "a",
     "callers": "c",
     "crashing": "x",
     "configuration": "o",
@@ -34,6 +38,7 @@
         f" {outcome.served} served, {outcome.runs} runs"
     )
     console.print(f"answers: {dict(statuses.most_common())}")
+    console.print(summary(outcome.history))
     console.print(timeline(outcome))
     for one in outcome.violations:
         console.print(
@@ -50,7 +55,7 @@
     step_s = max(1e-3, history.ended_at - started_at) / _COLUMNS
     table = Table(box=None, show_header=False, padding=(0, 1))
     rows: dict[str, list[str]] = {}
-    for one in history.disruptions:
+    for one in (*history.disruptions, *history.api_faults):
         row = rows.setdefault(one.target or "store", [" "] * _COLUMNS)
         first = int((one.since - started_at) / step_s)
         until = min(one.until, history.ended_at)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,9 +11,9 @@
 
 from soak.callers import DEADLINE_S, Caller
 from soak.checks import RECOVERY_S, Violation, violations
+from soak.component_injector import ComponentInjector
 from soak.faults import Schedule
 from soak.fleet import RATES, SoakFleet
-from soak.injector import Injector
 from soak.pipelining_caller import PipeliningCaller
 from soak.records import History
 from soak.stall_monitor import StallMonitor
@@ -92,7 +92,7 @@
             )
             for n in range(PIPELINING_CALLERS)
         ]
-        await Injector(fleet, schedule).run()
+        await ComponentInjector(fleet, schedule).run()
         history.faults_end = time.time()
         await asyncio.sleep(recovery_s + CALM_S)
         for caller in callers:
@@ -102,6 +102,7 @@
         history.ended_at = time.time()
         history.runs = fleet.runs()
         history.arrivals = fleet.arrivals()
+        history.duty_calls = await fleet.duty_calls()
     return Outcome(
         schedule=schedule,
         violations=violations(history),
--- a/standins/_store_state.py
+++ b/standins/_store_state.py
@@ -150,6 +150,9 @@
         old = self.pairs.pop(key, None)
         if old is None:
             return
+        # Otherwise the end of this lease would delete a later key of this name.
+        if old.lease in self.leases:
+            self.leases[old.lease].keys.discard(key)
         self.revision += 1
         gone = Pair(key, "", 0, self.revision, 0, 0)
         self.events.append(Event("DELETE", gone))
--- a/standins/duties_api.py
+++ b/standins/duties_api.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import time
 from typing import Any
 
 import msgspec
@@ -46,6 +47,8 @@
         self._holders: dict[int, set[str]] = {}
         self._violations: list[str] = []
         self._fenced = 0
+        # All calls as they arrived; status and end are added once executed.
+        self._log: list[dict[str, Any]] = []
         self._late: set[asyncio.Task[web.Response]] = set()
 
     def build(self) -> web.Application:
@@ -59,25 +62,41 @@
     async def _usage(self, request: web.Request) -> web.Response:
         self._calls += 1
         faults = self._faults
+        document = await request.json()
+        token = int(request.headers["Fencing-Token"])
+        call = {
+            "holder": request.headers["Duty-Holder"],
+            "token": token,
+            "window": document["WindowId"],
+            "counts": document["Counts"],
+            "at": time.time(),
+        }
+        self._log.append(call)
         if faults.down == "busy":
+            call["status"] = 429
             return web.Response(status=429)
         while self._faults.down == "hang" and request.transport is not None:
             await asyncio.sleep(_POLL_S)
         if faults.down != "no":
             abort(request)
             raise web.HTTPServiceUnavailable
-        document = await request.json()
-        token = int(request.headers["Fencing-Token"])
         holder = f"{request.remote} {request.headers['Duty-Holder']}"
         executed = asyncio.create_task(
             self._execute(document, token, holder, faults.delay_s)
         )
+        executed.add_done_callback(
+            lambda task: call.update(
+                status=task.result().status, ended_at=time.time()
+            )
+        )
         self._late.add(executed)
         executed.add_done_callback(self._late.discard)
         if faults.is_answer_lost:
             abort(request)
             raise web.HTTPServiceUnavailable
-        return await asyncio.shield(executed)
+        response = await asyncio.shield(executed)
+        call["is_answered"] = request.transport is not None
+        return response
 
     async def _execute(
         self, document: Any, token: int, holder: str, delay_s: float
@@ -109,6 +128,7 @@
                     for token, names in self._holders.items()
                 },
                 "violations": self._violations,
+                "log": self._log,
             }
         )
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import time
+import zlib
 from typing import Any, TextIO
 
 import msgspec
@@ -15,6 +16,11 @@
 
 from standins._cli import abort, serve
 
+# Each pace of a server lasts this long, and long work takes so many times as
+# long as usual.
+PACE_S = 0.3
+LONG_FACTOR = 7.0
+
 
 class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
     """How the server behaves; POST /control sets these fields.
@@ -31,6 +37,11 @@
         leaving: Whether the responses say that the server is about to leave.
         hang_on: Requests whose path contains this begin to run and get no
             response; empty: none.
+        paces: How long work takes, in percent, one value after the other; the
+            server reports it as the fourth figure of its load. Empty: as
+            usual, and nothing is reported.
+        long_share: Share of the requests whose work takes longer, by the hash
+            of their id and the server's name.
     """
 
     work_ms: float = 5.0
@@ -40,6 +51,8 @@
     rest_s: float | None = None
     leaving: bool = False
     hang_on: str = ""
+    paces: list[float] = []
+    long_share: float = 0.0
 
 
 class PlatformServerStandIn:
@@ -90,23 +103,36 @@
             hang_on = self._behaviour.hang_on
             if hang_on and hang_on in request.path:
                 await asyncio.Event().wait()
-            await asyncio.sleep(self._behaviour.work_ms / 1000)
+            await asyncio.sleep(self._work_s(headers.get("Request-Id", "")))
         finally:
             self._running -= 1
         if self._behaviour.lose_answers > 0:
             self._behaviour.lose_answers -= 1
             abort(request)
         request_id = headers.get("Request-Id", "")
+        load = [self._running, 0, self._behaviour.slots, *self._pace()]
         return web.Response(
             body=f"{self._name}:{request_id}:".encode() + body,
             headers={
                 "Request-Id": request_id,
                 "Server-Seal": f"seal-{self._name}",
-                "Server-Load": f"{self._running},0,{self._behaviour.slots}",
+                "Server-Load": ",".join(map(str, load)),
             }
             | self._needs(),
         )
 
+    def _pace(self) -> list[float]:
+        """Returns the present pace, if there is one."""
+        paces = self._behaviour.paces
+        return [paces[int(time.time() / PACE_S) % len(paces)]] if paces else []
+
+    def _work_s(self, request_id: str) -> float:
+        """Returns how long the work of a request takes now."""
+        drawn = zlib.crc32(f"{self._name} {request_id}".encode()) / 2**32
+        factor = LONG_FACTOR if drawn < self._behaviour.long_share else 1.0
+        percent = (*self._pace(), 100.0)[0]
+        return self._behaviour.work_ms / 1000 * factor * percent / 100
+
     def _needs(self) -> dict[str, str]:
         """Returns the headers for the limit and for an imminent departure."""
         headers = {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,14 +12,18 @@
 from rich.console import Console
 
 from radishmux.clock import ManualClock
+from soak import faults
 from soak.checks import CHECKS, CONTACT_S, CRASH, CUT, RECOVERY_S, violations
-from soak.faults import KINDS, Fault, Schedule, draw
+from soak.component_faults import COMPONENT_KINDS, draw
+from soak.components import LEASE_S
+from soak.faults import KINDS, Fault, Schedule
 from soak.injector import control
 from soak.records import (
     Act,
     Arrival,
     Call,
     Disruption,
+    DutyCall,
     History,
     Run,
     Stall,
@@ -82,6 +86,20 @@
     return Disruption(**(values | {"since": 9.5, "until": 12.0} | fields))
 
 
+def duty_call(**fields):
+    values = {
+        "holder": "g0",
+        "token": 5,
+        "window": 7,
+        "counts": {"open": 3},
+        "at": 10.0,
+        "ended_at": 10.0,
+        "status": 200,
+        "is_answered": True,
+    }
+    return DutyCall(**(values | fields))
+
+
 BROKEN = {
     "TWICE": History(calls=[call()], runs=[run(), run(server="s1")]),
     "REFUSED": History(calls=[call(status=503)], runs=[run()]),
@@ -164,6 +182,23 @@
             )
         ],
     ),
+    "DUTY_TOKEN": History(
+        duty_calls=[duty_call(), duty_call(holder="g1", at=11.0)]
+    ),
+    "DUTY_ORDER": History(
+        duty_calls=[
+            duty_call(),
+            duty_call(holder="g1", token=6, at=11.0),
+            duty_call(token=8, at=10.0 + LEASE_S),
+        ]
+    ),
+    "DUTY_REPORT": History(
+        duty_calls=[duty_call(), duty_call(counts={"open": 4}, status=409)]
+    ),
+    "DUTY_FENCED": History(
+        duty_calls=[duty_call(status=409), duty_call(at=10.1 + LEASE_S)]
+    ),
+    "NOT_RUN": History(calls=[call(idempotent=True, status=503)], runs=[run()]),
     "RECOVER": History(
         calls=[call(sent_at=20.0, status=503)], faults_end=20.0 - RECOVERY_S
     ),
@@ -214,6 +249,47 @@
         assert violations(history) == []
 
 
+# A stale holder may act again alone, without a call of the other one between.
+def test_token_that_goes_back_is_found_after_any_time():
+    calls = [
+        duty_call(holder="g1", token=6, at=1.0),
+        duty_call(token=5, at=2.0 + 2 * LEASE_S),
+    ]
+    found = violations(History(duty_calls=calls))
+    assert [one.rule for one in found] == ["DUTY_ORDER"]
+
+
+# Two processes of one instance are two holders.
+def test_token_of_the_process_before_a_restart_is_found():
+    history = History(
+        duty_calls=[duty_call(), duty_call(at=15.0)],
+        starts={"g0": [1.0, 12.0]},
+    )
+    assert [one.rule for one in violations(history)] == ["DUTY_TOKEN"]
+
+
+def test_holders_that_follow_each_other_break_nothing():
+    history = History(
+        duty_calls=[
+            duty_call(),
+            # A call that is executed late, and refused then.
+            duty_call(at=10.5, ended_at=15.0, status=409, is_answered=False),
+            duty_call(holder="g1", token=6, at=12.1),
+            duty_call(token=8, at=12.6, ended_at=12.6, status=409),
+            duty_call(token=8, at=12.5 + LEASE_S),
+            duty_call(token=9, at=12.7 + LEASE_S),
+        ]
+    )
+    assert violations(history) == []
+
+
+def test_component_faults_leave_the_other_faults_of_a_seed_alone():
+    schedule = draw(5, 20.0)
+    others = [one for one in schedule.faults if one.kind in list(KINDS)]
+    assert tuple(others) == faults.draw(5, 20.0).faults
+    assert len(others) < len(schedule.faults)
+
+
 def test_schedules_repeat_with_their_seed():
     assert draw(5, 20.0) == draw(5, 20.0)
     assert draw(5, 20.0) != draw(6, 20.0)
@@ -267,10 +343,11 @@
 def test_report_shows_every_kind_of_fault():
     disruptions = [
         Disruption(kind=kind, target=kind, since=10.0, until=11.0)
-        for kind in KINDS
+        for kind in (*KINDS, *COMPONENT_KINDS)
     ]
     text = shown(History(disruptions=disruptions, ended_at=20.0))
     assert "callers_leave" in text and "store_restored" in text
+    assert "api_down" in text and "servers_crowded" in text
 
 
 # A run ended with an error, since a server crashed while its faults were set.
