--- a/soak/run.py
+++ b/soak/run.py
@@ -103,6 +103,8 @@
         history.runs = fleet.runs()
         history.arrivals = fleet.arrivals()
         history.duty_calls = await fleet.duty_calls()
+        record = msgspec.json.encode(history.duty_calls)
+        (folder / "duty-calls.json").write_bytes(record)
     return Outcome(
         schedule=schedule,
         violations=violations(history),
