Remember that a server is leaving before its entry is read

An instance that is cut off from the servers sends requests through peers. One response said that its server was leaving 0.15 s before the instance read the entry of that server, so that the news was lost.

The news is kept for 3 s, for up to 1,000 names.

--- a/src/radishmux/gateway/sender.py
+++ b/src/radishmux/gateway/sender.py
@@ -180,10 +180,15 @@
             response: Its response.
         """
         server = self._fleet.servers.get(name)
+        report = self._dialect.read_report(response)
+        is_leaving = report.is_leaving and not report.misdirected
         if server is None:
+            if is_leaving:
+                self._fleet.servers.record_unknown_leaving(
+                    name, self._clock.now()
+                )
             return
-        report = self._dialect.read_report(response)
-        if report.is_leaving and not report.misdirected:
+        if is_leaving:
             self._record_leaving(server)
         self._record_limit(server, report)
 
--- a/src/radishmux/steer/servers.py
+++ b/src/radishmux/steer/servers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -15,8 +16,12 @@
 # An entry that expired during an outage of the list is registered again within
 # about 2 s of the recovery; the rest covers the time until it is read.
 RETURN_GRACE_S = 2.3
-# Number of removed servers whose latest entries are kept.
+# Number of removed servers whose latest entries are kept, and of servers
+# without an entry that are known to be leaving.
 MAX_REMOVED = 1_000
+# Time for which the news that an unknown server is leaving is valid. It is less
+# than a server needs to drain and start again under its name.
+LEAVING_VALID_S = 3.0
 
 
 class ServerEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -110,6 +115,8 @@
         self._return_grace_until = 0.0
         # Latest entries of removed servers, the oldest removal first.
         self._removed: OrderedDict[str, ServerEntry] = OrderedDict()
+        # When unknown servers were said to be leaving, the oldest time first.
+        self._leaving_unknown: OrderedDict[str, float] = OrderedDict()
 
     def get(self, name: str) -> Server | None:
         """Returns a backend server, including draining ones, or None."""
@@ -155,7 +162,9 @@
                 return False
             self._removed.pop(entry.name, None)
             region = self._regions.get(entry.failure_domain, "")
-            self._servers[entry.name] = Server(entry, region, now)
+            server = self._servers[entry.name] = Server(entry, region, now)
+            said_at = self._leaving_unknown.pop(entry.name, -math.inf)
+            server.is_leaving = now - said_at < LEAVING_VALID_S
             self._by_service.clear()
             return True
         if _is_older(entry, server.entry):
@@ -190,6 +199,17 @@
         self._by_service.clear()
         return True
 
+    def record_unknown_leaving(self, name: str, now: float) -> None:
+        """Records that a server without an entry here is about to leave.
+
+        A peer may have passed a request to it before this instance reads its
+        entry.
+        """
+        self._leaving_unknown[name] = now
+        self._leaving_unknown.move_to_end(name)
+        while len(self._leaving_unknown) > MAX_REMOVED:
+            self._leaving_unknown.popitem(last=False)
+
     def remove(self, name: str, now: float) -> None:
         """Removes a server whose entry was deleted.
 
--- a/tests/steer/test_servers.py
+++ b/tests/steer/test_servers.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from radishmux.steer.servers import RETURN_GRACE_S, ServerTable
+from radishmux.steer.servers import (
+    LEAVING_VALID_S,
+    RETURN_GRACE_S,
+    ServerTable,
+)
 from tests.gateway.parts import REGIONS, entry
 
 
@@ -33,6 +37,18 @@
     assert names(table) == {"a", "b"}
 
 
+# Guards against news of a server that count for its next start.
+def test_news_of_an_unknown_leaving_server_is_valid_for_a_short_time():
+    table = ServerTable(REGIONS)
+    table.record_unknown_leaving("a", 0.0)
+    table.record_unknown_leaving("b", 0.0)
+    table.put(entry("a"), 0.9 * LEAVING_VALID_S)
+    table.put(entry("b"), 1.1 * LEAVING_VALID_S)
+    assert names(table) == {"b"}
+    table.put(entry("a", started_ms=20), 1.2 * LEAVING_VALID_S)
+    assert names(table) == {"a", "b"}
+
+
 def test_outdated_entry_is_dropped():
     table = ServerTable(REGIONS)
     table.put(entry("a", sequence=5, started_ms=10, draining=True), 0.0)
