--- a/review/kit2/fleet.py
+++ b/review/kit2/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shlex
 import signal
@@ -47,13 +48,18 @@
 
 
 def free_port(host):
+    """Returns a free port below those that the system gives to clients."""
     while True:
+        port = random.randrange(11_000, 32_000)
+        if port in _taken:
+            continue
         with socket.socket() as sock:
-            sock.bind((host, 0))
-            port = sock.getsockname()[1]
-        if port not in _taken:
-            _taken.add(port)
-            return port
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
 def render(template, fields):
