--- a/review/kit2/platform_store.py
+++ b/review/kit2/platform_store.py
@@ -24,6 +24,8 @@
         self.next_lease = 100
         self.changed = asyncio.Event()
         self.address = ""
+        self.cuts = 0
+        self._waiting = set()
         self._server = None
         self._expiry = None
 
@@ -47,6 +49,17 @@
             self.items.pop(key)
             self._record({"Key": key, "Revision": self.revision, "Deleted": True})
 
+    @property
+    def waiting(self):
+        """Number of watches that wait for a change."""
+        return len(self._waiting)
+
+    def cut_watches(self):
+        """Closes the connections of all watches that are waiting."""
+        for writer in list(self._waiting):
+            self.cuts += 1
+            writer.transport.abort()
+
     def value(self, key):
         item = self.items.get(key)
         return json.loads(base64.b64decode(item["Value"])) if item else None
@@ -97,7 +110,13 @@
                     if name.lower() == "content-length":
                         size = int(value)
                 body = await reader.readexactly(size)
-                status, document = await self._answer(method, target, body)
+                is_watch = "/kv-watch?" in target
+                if is_watch:
+                    self._waiting.add(writer)
+                try:
+                    status, document = await self._answer(method, target, body)
+                finally:
+                    self._waiting.discard(writer)
                 data = b"" if document is None else json.dumps(document).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
--- a/review/kit2/upstream.py
+++ b/review/kit2/upstream.py
@@ -109,6 +109,11 @@
             3 * HEARTBEAT_S, self._lapse, key, sequence
         )
 
+    def leave(self):
+        """Removes its entry; it goes on serving until `crash`."""
+        self._beat.cancel()
+        self.store.delete(f"servers/{self.name}")
+
     def _lapse(self, key, sequence):
         known = self.store.value(key)
         if known and known["Sequence"] == sequence:
