--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,15 +4,19 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).parent
-sys.path.insert(0, str(FOLDER.parent / "kit2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-import fleet  # noqa: E402
-import platform_store  # noqa: E402
-import upstream  # noqa: E402
+import lab2_fleet as fleet  # noqa: E402
+import lab2_store as platform_store  # noqa: E402
+import lab2_upstream as upstream  # noqa: E402
+
+# TROUBLE=0 does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # Services of the two kinds of requests; the entry names the first one.
 SERVICES = {"r-1": "dele69a", "r-2": "xano55b"}
@@ -93,4 +97,4 @@
     return any(served[name] / ROUNDS < of_all / 4 for name in SERVICES)
 
 
-fleet.run(main, FOLDER)
+fleet.run(main, FOLDER, TROUBLE)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,17 +6,21 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).parent
-sys.path.insert(0, str(FOLDER.parent / "kit2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-import fleet  # noqa: E402
-import platform_store  # noqa: E402
-import upstream  # noqa: E402
+import lab2_fleet as fleet  # noqa: E402
+import lab2_store as platform_store  # noqa: E402
+import lab2_upstream as upstream  # noqa: E402
+
+# TROUBLE=0 does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 ZONES = ("mtl-est", "mtl-ouest", "mtl-est")
 POISON, BODY = "/wude451/lot/9041", b"lot 9041: 14 trays collected"
@@ -144,4 +148,4 @@
     return len(late) > ALLOWED
 
 
-fleet.run(main, FOLDER)
+fleet.run(main, FOLDER, TROUBLE)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # that each of them can be read by the interpreter that runs them.
 set -e
 cd "$(dirname "$0")"
-python3 - kit2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py <<'PYTHON'
+python3 - lab2_*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py <<'PYTHON'
 import pathlib
 import sys
 
--- a/review/kit2/fleet.py
+++ b/review/lab2_fleet.py
@@ -15,7 +15,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).parents[2]
+ROOT = pathlib.Path(__file__).parents[1]
 ZONES = {
     "mtl-est": "mtl",
     "mtl-ouest": "mtl",
@@ -44,7 +44,7 @@
 HOST = "nony93.example"
 KEY = "s989anu6wsjnbanfqasn"
 _PLACEHOLDER = re.compile(r"\{\{([A-Za-z_.]+)(\|json)?\}\}")
-_taken = set()
+_taken = {}
 
 
 def free_port(host):
@@ -53,12 +53,17 @@
         port = random.randrange(11_000, 32_000)
         if port in _taken:
             continue
+        # Held for as long as this script runs, so that another one that runs
+        # beside it takes other ports.
+        held = socket.socket(type=socket.SOCK_DGRAM)
         with socket.socket() as sock:
             try:
+                held.bind((host, port))
                 sock.bind((host, port))
             except OSError:
+                held.close()
                 continue
-        _taken.add(port)
+        _taken[port] = held
         return port
 
 
@@ -286,12 +291,11 @@
     return int(line.split()[1]), headers
 
 
-def run(main, folder, limit_s=112):
+def run(main, folder, trouble, limit_s=112):
     """Runs a case; exits with 1, 0 or 2 as the case ends."""
     import sys
     import traceback
 
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
 
     async def bounded():
